--- a/src/baobabrack/daemon/main.cpp
+++ b/src/baobabrack/daemon/main.cpp
@@ -6,6 +6,8 @@
 
 #include "baobabrack/daemon/entry_program.hpp"
 #include "baobabrack/daemon/guard_program.hpp"
+#include "baobabrack/daemon/scheduler_program.hpp"
+#include "baobabrack/daemon/worker_guard_program.hpp"
 #include "baobabrack/observe/json_log.hpp"
 #include "baobabrack/settings/settings.hpp"
 
@@ -36,16 +38,47 @@
     return name == "error" ? log_level::error : log_level::info;
 }
 
-int run(const wire::Settings& settings) {
-    const bool is_entry = settings.has_entry();
+std::string role_name(const wire::Settings& settings) {
+    switch (settings.role_case()) {
+        case wire::Settings::kEntry:
+            return "entry";
+        case wire::Settings::kGuard:
+            return "guard";
+        case wire::Settings::kScheduler:
+            return "scheduler";
+        case wire::Settings::kWorkerGuard:
+            return "worker-guard";
+        case wire::Settings::ROLE_NOT_SET:
+            break;
+    }
+    return "none";
+}
+
+int run_role(const wire::Settings& settings, const std::string& file) {
+    switch (settings.role_case()) {
+        case wire::Settings::kEntry:
+            return run_entry(settings);
+        case wire::Settings::kGuard:
+            return run_guard(settings);
+        case wire::Settings::kScheduler:
+            return run_scheduler(settings);
+        case wire::Settings::kWorkerGuard:
+            return run_worker_guard(settings, file);
+        case wire::Settings::ROLE_NOT_SET:
+            break;
+    }
+    return exit_settings;
+}
+
+int run(const wire::Settings& settings, const std::string& file) {
     const json_logging logging({.program = "baobabrackd",
-                                .role = is_entry ? "entry" : "guard",
+                                .role = role_name(settings),
                                 .id = settings.id(),
                                 .least = level_of(settings.log_level())});
     // A peer that sends what is not UTF-8 could fill standard error with protobuf's own lines.
     google::protobuf::SetLogHandler(nullptr);
     try {
-        return is_entry ? run_entry(settings) : run_guard(settings);
+        return run_role(settings, file);
     } catch (const std::runtime_error& error) {
         log_event(log_level::error, "start-failed").field("error", error.what());
         return exit_failed;
@@ -66,7 +99,7 @@
         std::cout << command.settings_file << ": settings are valid; nothing was started\n";
         return 0;
     }
-    return run(reading.settings);
+    return run(reading.settings, command.settings_file);
 }
 
 }  // namespace
@@ -76,7 +109,8 @@
     app.footer(footer);
     app.set_version_flag("--version", BAOBABRACK_VERSION);
     command_line command;
-    auto* settings = app.add_option("--settings", command.settings_file, "JSON settings file");
+    auto* settings = app.add_option("--settings", command.settings_file, "JSON settings file")
+                         ->envname("BAOBABRACK_CONFIG");
     auto* defaults = app.add_option("--print-defaults", command.defaults_of,
                                     "print settings of a role with their defaults");
     defaults->check(CLI::IsMember({"entry", "guard"}));
--- /dev/null
+++ b/src/baobabrack/daemon/scheduler_program.cpp
@@ -0,0 +1,192 @@
+#include "baobabrack/daemon/scheduler_program.hpp"
+
+#include <csignal>
+#include <utility>
+
+#include "baobabrack/daemon/metrics_page.hpp"
+#include "baobabrack/daemon/process_identity.hpp"
+#include "baobabrack/observe/json_log.hpp"
+#include "baobabrack/transport/event_runtime.hpp"
+#include "baobabrack/transport/zmq_network.hpp"
+#include "baobabrack/workload/front_desk.hpp"
+#include "platform/callers_api.hpp"
+#include "platform/config_follower.hpp"
+#include "platform/store_client.hpp"
+
+namespace baobabrack {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration drain_check_interval = 20ms;
+// The balancer asks once a second and moves callers away after two misses.
+constexpr duration leave_notice = 2500ms;
+// Share of the grace period after which whatever is still open is given up.
+constexpr double grace_share = 0.8;
+// Share of the time in which a key has to lose its force, after which keyed calls are refused.
+constexpr double revocation_share = 0.6;
+// Share of the longest lease that a worker gets; shorter leases free lost work sooner.
+constexpr double lease_share = 0.6;
+constexpr std::uint32_t default_most_connections = 2048;
+
+duration from_ms(double milliseconds) {
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(milliseconds));
+}
+
+http_endpoint to_endpoint(const std::string& text) {
+    const auto endpoint = parse_endpoint(text);
+    return endpoint ? endpoint.value() : http_endpoint{};
+}
+
+http_server::options server_at(const std::string& address, std::uint32_t most_connections) {
+    const auto endpoint = to_endpoint(address);
+    return {.host = endpoint.host,
+            .port = endpoint.port,
+            .max_body_bytes = 1UL << 20U,
+            .max_connections = most_connections};
+}
+
+workload::scheduler::options decision_options(const wire::WorkloadBounds& bounds) {
+    return {.lease = from_ms(bounds.most_lease_ms() * lease_share),
+            .lease_slack = from_ms(bounds.thaw_slack_ms() + bounds.stop_timeout_ms()),
+            .reclaim_timeout = from_ms(bounds.reclaim_timeout_ms()),
+            .remote_penalty = bounds.remote_penalty()};
+}
+
+workload::scheduler_node::options node_options(const wire::Settings& settings) {
+    const auto& bounds = settings.scheduler().bounds();
+    return {.id = settings.id(),
+            .life = new_incarnation(),
+            .zmq_endpoint = settings.scheduler().zmq_endpoint(),
+            .decisions = decision_options(bounds),
+            .config_limit = from_ms(bounds.config_apply_ms()),
+            .answer_limit = from_ms(bounds.visible_ms() * revocation_share)};
+}
+
+/// Answers every call with 503: workers announce themselves to the guard on their host.
+class refusing_handler : public http_handler {
+public:
+    void handle(http_request /*request*/, http_responder responder) override {
+        responder.answer({.status = 503});
+    }
+};
+
+/// A scheduler with everything that it meets.
+class scheduler_program {
+public:
+    explicit scheduler_program(const wire::Settings& settings)
+        : settings_(settings.scheduler()),
+          loop_(new_seed()),
+          client_(loop_, {.connect_timeout = 700ms, .acknowledge_timeout = 1500ms}),
+          store_(client_, to_endpoint(settings_.store()), metrics_),
+          config_(loop_, store_),
+          network_(loop_, {.id = settings.id(), .endpoint = settings_.zmq_endpoint()}),
+          node_(node_options(settings), {.loop = loop_,
+                                         .log = store_,
+                                         .network = network_,
+                                         .config = config_,
+                                         .metrics = metrics_}),
+          desk_({.key_limit = key_limit()}, loop_, node_, config_, metrics_),
+          callers_(desk_),
+          readiness_([this] { return ready(); }),
+          metrics_page_(metrics_),
+          callers_server_(loop_, server_at(settings_.listen(), most_connections()), callers_),
+          readiness_server_(loop_, server_at(settings_.readiness(), 64), readiness_),
+          announcements_server_(loop_, server_at(settings_.announcements(), 64), refusing_),
+          metrics_server_(loop_, server_at(settings_.metrics(), 16), metrics_page_) {}
+
+    int run() {
+        loop_.on_signal(SIGTERM, [this] { begin_drain(); });
+        loop_.on_signal(SIGINT, [this] { begin_drain(); });
+        loop_.on_signal(SIGHUP, [] { log_event(log_level::info, "reload-not-needed"); });
+        config_.start([] {});
+        node_.start();
+        log_event(log_level::info, "started")
+            .field("listen", settings_.listen())
+            .field("store", settings_.store())
+            .field("zmq", settings_.zmq_endpoint());
+        loop_.run();
+        log_event(log_level::info, "stopped").field("exit", exit_code_);
+        return exit_code_;
+    }
+
+private:
+    std::uint32_t most_connections() const {
+        return settings_.most_connections() > 0 ? settings_.most_connections()
+                                                : default_most_connections;
+    }
+
+    duration key_limit() const {
+        return from_ms(settings_.bounds().revocation_ms() * revocation_share);
+    }
+
+    bool ready() {
+        const bool now_ready = !stopping_ && desk_.ready();
+        if (std::exchange(was_ready_, now_ready) != now_ready) {
+            log_event(log_level::info, "readiness-changed").field("ready", now_ready);
+        }
+        return now_ready;
+    }
+
+    void begin_drain() {
+        if (std::exchange(stopping_, true)) {
+            return;
+        }
+        const auto grace = from_ms(settings_.bounds().grace_period_s() * 1000);
+        log_event(log_level::info, "drain-began")
+            .field("open", static_cast<std::uint64_t>(callers_server_.open_requests()));
+        node_.resign();
+        const auto notice = std::min(leave_notice, grace / 2);
+        loop_.schedule(notice, [this] {
+            callers_server_.stop_accepting();
+            finish_drain();
+        });
+        loop_.schedule(std::chrono::duration_cast<duration>(grace * grace_share), [this] {
+            log_event(log_level::error, "drain-timed-out")
+                .field("open", static_cast<std::uint64_t>(callers_server_.open_requests()));
+            exit_code_ = 1;
+            loop_.stop();
+        });
+    }
+
+    void finish_drain() {
+        callers_server_.close_idle();
+        if (callers_server_.quiet()) {
+            loop_.stop();
+            return;
+        }
+        loop_.schedule(drain_check_interval, [this] { finish_drain(); });
+    }
+
+    wire::SchedulerSettings settings_;
+    event_runtime loop_;
+    metrics_registry metrics_;
+    http_client client_;
+    platform::store_client store_;
+    platform::config_follower config_;
+    zmq_network network_;
+    workload::scheduler_node node_;
+    workload::front_desk desk_;
+    platform::callers_api callers_;
+    platform::readiness_api readiness_;
+    refusing_handler refusing_;
+    metrics_page metrics_page_;
+    http_server callers_server_;
+    http_server readiness_server_;
+    http_server announcements_server_;
+    http_server metrics_server_;
+    bool stopping_ = false;
+    bool was_ready_ = false;
+    int exit_code_ = 0;
+};
+
+}  // namespace
+
+int run_scheduler(const wire::Settings& settings) {
+    scheduler_program program(settings);
+    return program.run();
+}
+
+}  // namespace baobabrack
--- /dev/null
+++ b/src/baobabrack/daemon/worker_guard_program.cpp
@@ -0,0 +1,120 @@
+#include "baobabrack/daemon/worker_guard_program.hpp"
+
+#include <csignal>
+
+#include "baobabrack/daemon/metrics_page.hpp"
+#include "baobabrack/daemon/process_identity.hpp"
+#include "baobabrack/observe/json_log.hpp"
+#include "baobabrack/settings/settings.hpp"
+#include "baobabrack/transport/event_runtime.hpp"
+#include "baobabrack/transport/http_client.hpp"
+#include "baobabrack/transport/zmq_network.hpp"
+#include "baobabrack/workload/worker_guard.hpp"
+#include "platform/announcements_api.hpp"
+#include "platform/worker_client.hpp"
+
+namespace baobabrack {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Seeds may change without a signal.
+constexpr duration seeds_interval = 2s;
+
+http_endpoint to_endpoint(const std::string& text) {
+    const auto endpoint = parse_endpoint(text);
+    return endpoint ? endpoint.value() : http_endpoint{};
+}
+
+http_server::options server_at(const std::string& address) {
+    const auto endpoint = to_endpoint(address);
+    return {.host = endpoint.host, .port = endpoint.port, .max_connections = 64};
+}
+
+std::vector<std::string> seed_endpoints(const wire::WorkerGuardSettings& settings) {
+    std::vector<std::string> endpoints;
+    for (const auto& seed : settings.seeds()) {
+        if (const auto endpoint = parse_endpoint(seed)) {
+            endpoints.push_back("tcp://" + endpoint.value().host + ":" +
+                                std::to_string(settings.scheduler_zmq_port()));
+        }
+    }
+    return endpoints;
+}
+
+class worker_guard_program {
+public:
+    worker_guard_program(const wire::Settings& settings, std::string file)
+        : settings_(settings.worker_guard()),
+          file_(std::move(file)),
+          loop_(new_seed()),
+          client_(loop_, {.max_connections_per_host = 32,
+                          .connect_timeout = 500ms,
+                          .acknowledge_timeout = 1500ms}),
+          worker_(client_, to_endpoint(settings_.worker())),
+          network_(loop_, {.id = settings.id(), .endpoint = settings_.zmq_endpoint()}),
+          guard_({.host = workload::host_id{settings.id()},
+                  .life = new_incarnation(),
+                  .zmq_endpoint = settings_.zmq_endpoint(),
+                  .seeds = seed_endpoints(settings_)},
+                 loop_, network_, worker_, metrics_),
+          announcements_(guard_, workload::host_id{settings.id()}),
+          metrics_page_(metrics_),
+          announcements_server_(loop_, server_at(settings_.announcements()), announcements_),
+          metrics_server_(loop_, server_at(settings_.metrics()), metrics_page_) {}
+
+    int run() {
+        // The worker runs on by itself, and the next guard finds its runs in its lists.
+        loop_.on_signal(SIGTERM, [this] { loop_.stop(); });
+        loop_.on_signal(SIGINT, [this] { loop_.stop(); });
+        loop_.on_signal(SIGHUP, [this] { read_seeds(); });
+        guard_.start();
+        watch_seeds();
+        log_event(log_level::info, "started")
+            .field("worker", settings_.worker())
+            .field("zmq", settings_.zmq_endpoint());
+        loop_.run();
+        log_event(log_level::info, "stopped").field("exit", 0);
+        return 0;
+    }
+
+private:
+    void watch_seeds() {
+        read_seeds();
+        loop_.schedule(seeds_interval, [this] { watch_seeds(); });
+    }
+
+    void read_seeds() {
+        const auto reading = read_settings_file(file_);
+        if (reading.problems.empty() && reading.settings.has_worker_guard()) {
+            guard_.set_seeds(seed_endpoints(reading.settings.worker_guard()));
+            return;
+        }
+        log_event(log_level::warning, "settings-refused")
+            .field("file", file_)
+            .field("reason", describe(reading.problems));
+    }
+
+    wire::WorkerGuardSettings settings_;
+    std::string file_;
+    event_runtime loop_;
+    metrics_registry metrics_;
+    http_client client_;
+    platform::worker_client worker_;
+    zmq_network network_;
+    workload::worker_guard guard_;
+    platform::announcements_api announcements_;
+    metrics_page metrics_page_;
+    http_server announcements_server_;
+    http_server metrics_server_;
+};
+
+}  // namespace
+
+int run_worker_guard(const wire::Settings& settings, const std::string& file) {
+    worker_guard_program program(settings, file);
+    return program.run();
+}
+
+}  // namespace baobabrack
--- a/src/baobabrack/settings/settings_check.cpp
+++ b/src/baobabrack/settings/settings_check.cpp
@@ -97,6 +97,49 @@
     }
 }
 
+void check_address(problems& found, const std::string& path, const std::string& address) {
+    const auto endpoint = parse_endpoint(address);
+    if (!endpoint || !is_ip_number(endpoint.value().host) || endpoint.value().port == 0) {
+        found.push_back({path, "expected IP:PORT, got \"" + address + "\"",
+                         "name the address by its number, such as 127.0.0.1:7300"});
+    }
+}
+
+void check_positive(problems& found, const std::string& path, double value) {
+    if (!(value > 0)) {
+        found.push_back({path, "expected a figure above 0", "set the bound that was agreed"});
+    }
+}
+
+void check_bounds(problems& found, const std::string& path, const wire::WorkloadBounds& bounds) {
+    check_positive(found, path + ".revocation_ms", bounds.revocation_ms());
+    check_positive(found, path + ".config_apply_ms", bounds.config_apply_ms());
+    check_positive(found, path + ".grace_period_s", bounds.grace_period_s());
+    check_positive(found, path + ".most_lease_ms", bounds.most_lease_ms());
+    check_positive(found, path + ".visible_ms", bounds.visible_ms());
+}
+
+void check_scheduler(problems& found, const wire::SchedulerSettings& scheduler) {
+    check_address(found, "scheduler.listen", scheduler.listen());
+    check_address(found, "scheduler.readiness", scheduler.readiness());
+    check_address(found, "scheduler.announcements", scheduler.announcements());
+    check_address(found, "scheduler.store", scheduler.store());
+    check_address(found, "scheduler.metrics", scheduler.metrics());
+    check_zmq(found, "scheduler.zmq_endpoint", scheduler.zmq_endpoint());
+    check_bounds(found, "scheduler.bounds", scheduler.bounds());
+}
+
+void check_worker_guard(problems& found, const wire::WorkerGuardSettings& guard) {
+    check_address(found, "worker_guard.announcements", guard.announcements());
+    check_address(found, "worker_guard.worker", guard.worker());
+    check_address(found, "worker_guard.metrics", guard.metrics());
+    check_zmq(found, "worker_guard.zmq_endpoint", guard.zmq_endpoint());
+    if (guard.scheduler_zmq_port() == 0 || guard.scheduler_zmq_port() > most_port) {
+        found.push_back({"worker_guard.scheduler_zmq_port", "expected a TCP port from 1 to 65535",
+                         "set the port that schedulers listen on for guards"});
+    }
+}
+
 void check_location(problems& found, const wire::Location& location) {
     check_text(found, "location.region", location.region(), "the region this process runs in");
     check_text(found, "location.data_centre", location.data_centre(),
@@ -125,8 +168,15 @@
         case wire::Settings::kGuard:
             check_guard(found, settings);
             break;
+        case wire::Settings::kScheduler:
+            check_scheduler(found, settings.scheduler());
+            break;
+        case wire::Settings::kWorkerGuard:
+            check_worker_guard(found, settings.worker_guard());
+            break;
         case wire::Settings::ROLE_NOT_SET:
-            found.push_back({"", "has no role", "add either \"entry\" or \"guard\""});
+            found.push_back(
+                {"", "has no role", "add \"entry\", \"guard\", \"scheduler\" or \"worker_guard\""});
             break;
     }
     return found;
--- /dev/null
+++ b/src/baobabrack/workload/directory.cpp
@@ -0,0 +1,46 @@
+#include "baobabrack/workload/directory.hpp"
+
+#include <algorithm>
+
+namespace baobabrack::workload {
+
+namespace {
+
+template <typename Rules, typename Id>
+const Rules* find_by_id(const std::vector<Rules>& all, const Id& id) {
+    const auto found =
+        std::find_if(all.begin(), all.end(), [&](const Rules& one) { return one.id == id; });
+    return found == all.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+const queue_rules* directory::find_queue(std::string_view host, std::string_view path) const {
+    const queue_rules* best = nullptr;
+    for (const auto& queue : queues) {
+        const bool matches = queue.host == host && path.starts_with(queue.path_prefix);
+        if (matches && (best == nullptr || queue.path_prefix.size() > best->path_prefix.size())) {
+            best = &queue;
+        }
+    }
+    return best;
+}
+
+const queue_rules* directory::find_queue(const queue_id& id) const {
+    return find_by_id(queues, id);
+}
+
+const workspace_rules* directory::find_key(std::string_view key) const {
+    for (const auto& workspace : workspaces) {
+        if (std::find(workspace.keys.begin(), workspace.keys.end(), key) != workspace.keys.end()) {
+            return &workspace;
+        }
+    }
+    return nullptr;
+}
+
+const workspace_rules* directory::find_workspace(const workspace_id& id) const {
+    return find_by_id(workspaces, id);
+}
+
+}  // namespace baobabrack::workload
--- /dev/null
+++ b/src/baobabrack/workload/job_book.cpp
@@ -0,0 +1,143 @@
+#include "baobabrack/workload/job_book.hpp"
+
+#include "baobabrack/workload.pb.h"
+
+namespace baobabrack::workload {
+
+namespace {
+
+job_id id_after(std::string_view key, std::string_view prefix) {
+    return job_id{std::string{key.substr(prefix.size())}};
+}
+
+template <typename Message>
+bool parse(Message& message, std::string_view value) {
+    return message.ParseFromArray(value.data(), static_cast<int>(value.size()));
+}
+
+}  // namespace
+
+job_id job_book::take_intake(std::string_view key, std::string_view value, log_offset offset) {
+    if (!is_newer(key, offset, value.empty())) {
+        return {};
+    }
+    if (key.starts_with(submission_prefix)) {
+        return take_submission(id_after(key, submission_prefix), value);
+    }
+    if (key.starts_with(cancel_prefix)) {
+        return take_cancel(id_after(key, cancel_prefix), value);
+    }
+    ++unreadable_;
+    return {};
+}
+
+job_id job_book::take_submission(const job_id& id, std::string_view value) {
+    if (value.empty()) {
+        jobs_.erase(id);
+        return {};
+    }
+    // The first submission stands; a repetition names the same job.
+    if (jobs_.contains(id)) {
+        return {};
+    }
+    wire::WorkloadSubmission record;
+    if (!parse(record, value)) {
+        ++unreadable_;
+        return {};
+    }
+    auto spec = from_wire(record);
+    if (!spec || spec.value().id != id) {
+        ++unreadable_;
+        return {};
+    }
+    auto& job = jobs_[id];
+    job.spec = std::move(spec.value());
+    job.cancelled = early_cancels_.erase(id) > 0;
+    if (const auto early = early_progress_.extract(id); !early.empty()) {
+        settle_progress(job, early.mapped());
+    }
+    return id;
+}
+
+job_id job_book::take_cancel(const job_id& id, std::string_view value) {
+    if (value.empty()) {
+        early_cancels_.erase(id);
+        return {};
+    }
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end()) {
+        early_cancels_[id] = true;
+        return {};
+    }
+    found->second.cancelled = true;
+    return id;
+}
+
+void job_book::take_progress(std::string_view key, std::string_view value, log_offset offset) {
+    if (!key.starts_with(progress_prefix) || !is_newer(key, offset, value.empty())) {
+        return;
+    }
+    const auto id = id_after(key, progress_prefix);
+    const auto found = jobs_.find(id);
+    if (found != jobs_.end()) {
+        settle_progress(found->second, value);
+    } else if (value.empty()) {
+        early_progress_.erase(id);
+    } else {
+        early_progress_[id] = std::string{value};
+    }
+}
+
+void job_book::settle_progress(stored_job& job, std::string_view value) {
+    wire::WorkloadProgress record;
+    if (value.empty()) {
+        return;
+    }
+    if (!parse(record, value)) {
+        ++unreadable_;
+        return;
+    }
+    job.progress = from_wire(job.spec, record);
+}
+
+bool job_book::is_newer(std::string_view key, log_offset offset, bool dropped) {
+    const auto found = newest_.find(key);
+    if (found == newest_.end()) {
+        if (!dropped) {
+            newest_.emplace(key, offset);
+        }
+        return true;
+    }
+    if (found->second >= offset) {
+        return false;
+    }
+    if (dropped) {
+        newest_.erase(found);
+    } else {
+        found->second = offset;
+    }
+    return true;
+}
+
+const stored_job* job_book::find(const job_id& id) const {
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : &found->second;
+}
+
+job_phase job_book::shown_phase(const stored_job& job) {
+    if (job.cancelled && !has_ended(job.progress.phase)) {
+        return job_phase::cancelled;
+    }
+    return job.progress.phase;
+}
+
+std::uint64_t job_book::pending(const queue_id& queue) const {
+    std::uint64_t count = 0;
+    for (const auto& [id, job] : jobs_) {
+        const bool waits = shown_phase(job) == job_phase::queued && job.spec.occurrences == 0;
+        count += waits && job.spec.queue == queue ? 1 : 0;
+    }
+    return count;
+}
+
+}  // namespace baobabrack::workload
--- /dev/null
+++ b/src/baobabrack/workload/job_progress.cpp
@@ -0,0 +1,162 @@
+#include "baobabrack/workload/job_progress.hpp"
+
+#include <algorithm>
+#include <map>
+
+#include "baobabrack/workload.pb.h"
+
+namespace baobabrack::workload {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Gives each place that a record mentions its number, from 1.
+class place_numbers {
+public:
+    explicit place_numbers(wire::WorkloadProgress& record) : record_(record) {}
+
+    std::uint32_t number(const worker_life& place) {
+        const auto next = static_cast<std::uint32_t>(numbers_.size() + 1);
+        const auto [found, added] = numbers_.try_emplace(place, next);
+        if (added) {
+            auto& entry = *record_.add_places();
+            entry.set_host(place.host.get());
+            entry.set_worker(place.worker.get());
+            entry.set_incarnation(place.life.get());
+        }
+        return found->second;
+    }
+
+private:
+    wire::WorkloadProgress& record_;
+    std::map<worker_life, std::uint32_t> numbers_;
+};
+
+worker_life place_of(const wire::WorkloadProgress& record, std::uint32_t number) {
+    if (number == 0 || number > static_cast<std::uint32_t>(record.places_size())) {
+        return {};
+    }
+    const auto& entry = record.places(static_cast<int>(number) - 1);
+    return {.host = host_id{entry.host()},
+            .worker = worker_id{entry.worker()},
+            .life = incarnation{entry.incarnation()}};
+}
+
+task_progress from_wire(const wire::WorkloadProgress& record, const wire::WorkloadTask& task) {
+    auto phase = task_phase::waiting;
+    if (task.phase() == wire::WorkloadTask::ASSIGNED) {
+        phase = task_phase::assigned;
+    } else if (task.phase() == wire::WorkloadTask::DONE) {
+        phase = task_phase::done;
+    }
+    return {.phase = phase,
+            .run = run_number{task.run()},
+            .place = place_of(record, task.place()),
+            .failures = task.failures(),
+            .checkpoint = task.checkpoint()};
+}
+
+void to_wire(const task_progress& task, place_numbers& places, wire::WorkloadTask& record) {
+    switch (task.phase) {
+        case task_phase::waiting:
+            record.set_phase(wire::WorkloadTask::WAITING);
+            break;
+        case task_phase::assigned:
+            record.set_phase(wire::WorkloadTask::ASSIGNED);
+            record.set_place(places.number(task.place));
+            break;
+        case task_phase::done:
+            record.set_phase(wire::WorkloadTask::DONE);
+            break;
+    }
+    record.set_run(task.run.get());
+    record.set_failures(task.failures);
+    record.set_checkpoint(task.checkpoint);
+}
+
+}  // namespace
+
+std::string_view to_string(job_phase phase) {
+    switch (phase) {
+        case job_phase::queued:
+            return "queued";
+        case job_phase::active:
+            return "active";
+        case job_phase::completed:
+            return "completed";
+        case job_phase::failed:
+            return "failed";
+        case job_phase::cancelled:
+            return "cancelled";
+    }
+    return "unknown";
+}
+
+occurrence_progress new_occurrence(const job_spec& spec, std::uint32_t number) {
+    occurrence_progress progress{.number = number, .steps = {}};
+    for (const auto& step : spec.steps) {
+        progress.steps.emplace_back(step.tasks);
+    }
+    return progress;
+}
+
+bool step_done(const step_spec& step, const std::vector<task_progress>& tasks) {
+    const auto is_done = [](const task_progress& task) { return task.phase == task_phase::done; };
+    return step.gang ? std::any_of(tasks.begin(), tasks.end(), is_done)
+                     : std::all_of(tasks.begin(), tasks.end(), is_done);
+}
+
+bool occurrence_done(const job_spec& spec, const occurrence_progress& progress) {
+    for (std::size_t at = 0; at < spec.steps.size(); ++at) {
+        if (!step_done(spec.steps[at], progress.steps[at])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+job_progress from_wire(const job_spec& spec, const wire::WorkloadProgress& record) {
+    job_progress progress;
+    progress.phase = static_cast<job_phase>(record.state());
+    progress.ended = wall_time{milliseconds{record.ended_unix_ms()}};
+    for (const auto& from : record.occurrences()) {
+        auto occurrence = new_occurrence(spec, from.number());
+        const auto steps = std::min<std::size_t>(occurrence.steps.size(),
+                                                 static_cast<std::size_t>(from.steps_size()));
+        for (std::size_t at = 0; at < steps; ++at) {
+            const auto& tasks = from.steps(static_cast<int>(at)).tasks();
+            auto& into = occurrence.steps[at];
+            const auto count =
+                std::min<std::size_t>(into.size(), static_cast<std::size_t>(tasks.size()));
+            for (std::size_t index = 0; index < count; ++index) {
+                into[index] = from_wire(record, tasks[static_cast<int>(index)]);
+            }
+        }
+        progress.occurrences.push_back(std::move(occurrence));
+    }
+    return progress;
+}
+
+wire::WorkloadProgress to_wire(const job_progress& progress) {
+    wire::WorkloadProgress record;
+    record.set_state(static_cast<wire::WorkloadProgress::State>(progress.phase));
+    record.set_ended_unix_ms(static_cast<std::uint64_t>(progress.ended.time_since_epoch().count()));
+    if (has_ended(progress.phase)) {
+        return record;
+    }
+    place_numbers places(record);
+    for (const auto& occurrence : progress.occurrences) {
+        auto& into = *record.add_occurrences();
+        into.set_number(occurrence.number);
+        for (const auto& step : occurrence.steps) {
+            auto& tasks = *into.add_steps();
+            for (const auto& task : step) {
+                to_wire(task, places, *tasks.add_tasks());
+            }
+        }
+    }
+    return record;
+}
+
+}  // namespace baobabrack::workload
--- /dev/null
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -0,0 +1,284 @@
+#ifndef BAOBABRACK_WORKLOAD_SCHEDULER_HPP
+#define BAOBABRACK_WORKLOAD_SCHEDULER_HPP
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "baobabrack/workload/directory.hpp"
+#include "baobabrack/workload/job_book.hpp"
+#include "baobabrack/workload/placement.hpp"
+#include "baobabrack/workload/worker_table.hpp"
+
+namespace baobabrack::workload {
+
+enum class end_kind { done, failed, stopped, lease_lapsed, gang_broken, gang_incomplete, unknown };
+
+std::string_view to_string(end_kind how);
+
+/// A run that the worker says has ended.
+struct run_end {
+    /// Counts a worker life's ends from 1.
+    std::uint64_t number = 0;
+    task_name task;
+    run_number run;
+    end_kind how = end_kind::unknown;
+    std::string checkpoint;
+};
+
+/// A run that a worker has, or whose start is under way there.
+struct run_report {
+    task_name task;
+    run_number run;
+    std::string checkpoint;
+    std::uint32_t percent = 0;
+};
+
+/// A start that has not happened and cannot happen any more.
+struct refused_run {
+    task_name task;
+    run_number run;
+    std::string reason;
+};
+
+/// Everything that a guard knows of its worker.
+struct worker_report {
+    worker_facts facts;
+    /// Whether the lists are the worker's own; a guard that has just started has none yet.
+    bool lists_known = false;
+    std::vector<run_report> runs;
+    std::vector<run_end> ends;
+    std::vector<refused_run> refusals;
+};
+
+/// A run that should be on a worker.
+struct wanted_run {
+    task_name task;
+    run_number run;
+    std::string payload;
+    std::string checkpoint;
+    resources needs;
+};
+
+struct unwanted_run {
+    task_name task;
+    run_number run;
+};
+
+/// What a guard should bring about on its worker.
+struct worker_orders {
+    worker_life worker;
+    /// Ends up to this number are stored.
+    std::uint64_t ends_stored = 0;
+    std::vector<wanted_run> starts;
+    std::vector<unwanted_run> stops;
+};
+
+/// Progress of jobs that is to be stored before any order that follows from it goes out.
+struct progress_batch {
+    struct change {
+        job_id job;
+        job_progress progress;
+    };
+    std::vector<change> changes;
+    std::map<worker_life, std::uint64_t> ends;
+};
+
+/// Counts of decisions, for metrics.
+struct scheduler_counts {
+    std::uint64_t started = 0;
+    std::uint64_t done = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t stopped = 0;
+    std::uint64_t lost = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t preempted = 0;
+};
+
+/// Decides where each task runs. Pure: time and all news come from outside; what it decides is
+/// taken as a batch to store, and orders only speak of what has been stored.
+class scheduler {
+public:
+    struct options {
+        /// Longest time that a grant extends a worker's lease by.
+        duration lease = std::chrono::seconds{6};
+        /// Bound on how much later than the grant was received a worker's lease may lapse.
+        duration lease_slack = std::chrono::milliseconds{800};
+        /// A host that has been silent this long gets no new runs.
+        duration silence_limit = std::chrono::milliseconds{1800};
+        /// A job of priority 0 within its workspace's guarantee has begun by then.
+        duration reclaim_timeout = std::chrono::milliseconds{2700};
+        /// Factor on run time for remote data or a spread gang.
+        double remote_penalty = 3;
+    };
+
+    explicit scheduler(options opts) : options_(opts) {}
+
+    /// Begins with the stored jobs. Runs on workers that do not report are given up once every
+    /// lease that an earlier leader can have granted has lapsed.
+    ///
+    /// @param lapsed_after when that is
+    void load(const job_book& book, time_point now, time_point lapsed_after);
+
+    /// Takes in a job that has been stored, or its cancellation.
+    void add(const stored_job& job, time_point now);
+    void cancel(const job_id& id);
+
+    /// Takes in what a guard says. Its worker's lease may be extended by `options::lease` from
+    /// when the report was sent.
+    void take(const worker_report& report, time_point now);
+
+    /// Makes every decision that the news call for.
+    ///
+    /// @param config may be null before the first one is known: then nothing starts
+    void decide(const directory* config, time_point now, wall_time wall_now);
+
+    /// @return decisions since the last call; empty if there are none
+    progress_batch take_batch();
+
+    /// The batch has been stored.
+    void stored(const progress_batch& batch);
+
+    /// @return what the host's worker should have and not have, given its newest report
+    worker_orders orders_for(const worker_report& report);
+
+    /// @return the hosts whose orders may have changed since the last call
+    std::set<host_id> take_touched_hosts();
+
+    const worker_table& workers() const { return workers_; }
+    const scheduler_counts& counts() const { return counts_; }
+    std::size_t open_jobs() const { return jobs_.size(); }
+
+    /// Explains the newest decisions, one line each, and forgets them.
+    struct note {
+        std::string event;
+        task_name task;
+        run_number run;
+        host_id host;
+        std::string detail;
+    };
+    std::vector<note> take_notes();
+
+private:
+    struct task_extra {
+        /// Highest run that has been stored.
+        run_number stored_run;
+        bool stopping = false;
+        time_point assigned{};
+        std::uint32_t percent = 0;
+        /// Since when the percent has been what it is.
+        time_point percent_since{};
+    };
+    struct open_job {
+        job_spec spec;
+        job_progress progress;
+        bool cancelled = false;
+        time_point since{};
+        /// By occurrence, step and task, as in `progress`.
+        std::vector<std::vector<std::vector<task_extra>>> extra;
+        bool dirty = false;
+    };
+    struct task_ref {
+        open_job* job = nullptr;
+        const step_spec* step = nullptr;
+        std::vector<task_progress>* tasks = nullptr;
+        std::vector<task_extra>* extras = nullptr;
+        task_progress* task = nullptr;
+        task_extra* extra = nullptr;
+    };
+    struct waiting_group {
+        open_job* job = nullptr;
+        task_group group;
+        /// Of priority 0 and within its workspace's guarantee.
+        bool entitled = false;
+        /// Smaller comes first.
+        double rank = 0;
+    };
+    /// Runs that can only be stopped together.
+    struct victim {
+        std::vector<task_name> tasks;
+        std::map<host_id, resources> held;
+        /// Accelerator-seconds of work that would be thrown away.
+        double loss = 0;
+    };
+
+    std::optional<task_ref> find(const task_name& task);
+    void hold(const task_name& name, const task_ref& ref);
+    void release(const task_name& name, const task_ref& ref);
+    void open(open_job job);
+    void inherit_runs(open_job& job, time_point now);
+    void apply_end(const run_end& end, const worker_life& place, time_point now);
+    void apply_refusal(const refused_run& refusal, const worker_life& place, time_point now);
+    void apply_runs(const worker_report& report, time_point now);
+    void lose_runs(const worker_life& place, const std::string& why, time_point now);
+    void end_run(const task_name& name, const task_ref& ref, const std::string& checkpoint);
+    void stop(const task_name& name, const task_ref& ref, const std::string& why);
+    void watch_progress(const task_name& name, const run_report& run, const task_ref& ref,
+                        time_point now);
+    template <typename Action>
+    void for_each_task(open_job& job, Action action);
+    void settle_jobs(time_point now, wall_time wall_now);
+    void settle(open_job& job, wall_time wall_now);
+    void open_due_occurrences(open_job& job, wall_time wall_now);
+    void stop_all(open_job& job);
+    void stop_broken_gangs(open_job& job);
+    bool anything_assigned(const open_job& job) const;
+    void finish(open_job& job, job_phase phase, wall_time wall_now);
+    candidates candidates_of(const service_id& service, time_point now, bool empty) const;
+    std::vector<waiting_group> waiting_groups(const directory& config, wall_time wall_now);
+    void add_waiting_groups(open_job& job, std::vector<waiting_group>& into);
+    void place_groups(std::vector<waiting_group>& groups, time_point now, wall_time wall_now);
+    void mark_entitled(const directory& config, std::vector<waiting_group>& groups) const;
+    void assign(const waiting_group& waiting, const std::vector<placed_task>& places,
+                time_point now);
+    bool make_room(const waiting_group& waiting, candidates& left, time_point now);
+    std::vector<victim> victims_below(std::uint32_t priority, const service_id& service,
+                                      time_point now);
+    void stop_victim(const victim& chosen);
+    void expire_silent(time_point now);
+    void add_note(std::string event, const task_name& task, run_number run, const host_id& host,
+                  std::string detail = {});
+
+    options options_;
+    worker_table workers_;
+    std::map<job_id, open_job> jobs_;
+    std::map<worker_life, std::uint64_t> ends_taken_;
+    std::map<worker_life, std::uint64_t> ends_stored_;
+    bool ends_dirty_ = false;
+    std::map<host_id, std::set<task_name>> runs_on_;
+    std::set<host_id> touched_;
+    std::vector<note> notes_;
+    std::vector<progress_batch::change> ended_jobs_;
+    // When every lease that an earlier leader granted has lapsed.
+    time_point inherited_lapse_{};
+    scheduler_counts counts_;
+};
+
+template <typename Action>
+void scheduler::for_each_task(open_job& job, Action action) {
+    auto& occurrences = job.progress.occurrences;
+    for (std::size_t at = 0; at < occurrences.size(); ++at) {
+        for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
+            auto& tasks = occurrences[at].steps[step];
+            for (std::size_t index = 0; index < tasks.size(); ++index) {
+                const task_name name{.step = {.job = job.spec.id,
+                                              .occurrence = occurrences[at].number,
+                                              .step = static_cast<std::uint32_t>(step)},
+                                     .index = static_cast<std::uint32_t>(index)};
+                action(name, task_ref{.job = &job,
+                                      .step = &job.spec.steps[step],
+                                      .tasks = &tasks,
+                                      .extras = &job.extra[at][step],
+                                      .task = &tasks[index],
+                                      .extra = &job.extra[at][step][index]});
+            }
+        }
+    }
+}
+
+}  // namespace baobabrack::workload
+
+#endif
--- /dev/null
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -0,0 +1,475 @@
+// What runs next and where.
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+#include "baobabrack/workload/scheduler.hpp"
+
+namespace baobabrack::workload {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// Clocks of hosts differ a little; an occurrence begins this much after its due time.
+constexpr milliseconds due_margin{60};
+// Ended occurrences and jobs further past their objective than this factor are worth nothing.
+constexpr double worthless_factor = 3;
+// A job waits for a place near its data or for one rack at most this share of the time that the
+// slower place would cost it.
+constexpr double patience_share = 0.25;
+// The same for jobs of priority 0, as a share of the time in which they have to begin.
+constexpr double urgent_patience_share = 0.2;
+// Ranks of groups that come after those that can still be in time.
+constexpr double late_rank = 1e6;
+constexpr double worthless_rank = 2e6;
+// An accelerator weighs as much as this many processors when work is thrown away.
+constexpr double processors_per_accelerator = 8;
+constexpr double millicores_per_processor = 1000;
+
+double seconds(duration span) {
+    return std::chrono::duration<double>(span).count();
+}
+
+double weight(const resources& amount) {
+    return processors_per_accelerator * amount.accelerators.get() +
+           amount.cpu.get() / millicores_per_processor;
+}
+
+double remaining_work(const job_spec& spec, const job_progress& progress) {
+    double work = 0;
+    for (const auto& occurrence : progress.occurrences) {
+        for (std::size_t at = 0; at < spec.steps.size(); ++at) {
+            const auto& step = spec.steps[at];
+            const auto left = std::count_if(
+                occurrence.steps[at].begin(), occurrence.steps[at].end(),
+                [](const task_progress& task) { return task.phase != task_phase::done; });
+            work += static_cast<double>(left) * weight(step.per_task) * seconds(step.estimated);
+        }
+    }
+    return work;
+}
+
+// The order of waiting jobs of one priority: those that can still be in time, shortest work
+// first; then late ones, which still earn a part; then those that earn nothing any more. Under
+// overload, shortest work first serves most jobs; first come would make all of them late.
+double rank_of(const job_spec& spec, const job_progress& progress, wall_time wall_now) {
+    const auto work = std::min(remaining_work(spec, progress), late_rank / 2);
+    const auto objective = std::chrono::duration<double>(longest_chain(spec)) * spec.slack_factor +
+                           std::chrono::duration<double>(spec.target_completion);
+    const std::chrono::duration<double> age = wall_now - spec.submitted;
+    if (age > objective * worthless_factor) {
+        return worthless_rank + work;
+    }
+    return age > objective ? late_rank + work : work;
+}
+
+}  // namespace
+
+void scheduler::decide(const directory* config, time_point now, wall_time wall_now) {
+    expire_silent(now);
+    settle_jobs(now, wall_now);
+    if (config == nullptr) {
+        return;
+    }
+    auto groups = waiting_groups(*config, wall_now);
+    place_groups(groups, now, wall_now);
+}
+
+void scheduler::settle_jobs(time_point /*now*/, wall_time wall_now) {
+    for (auto each = jobs_.begin(); each != jobs_.end();) {
+        auto& job = each->second;
+        settle(job, wall_now);
+        if (has_ended(job.progress.phase)) {
+            ended_jobs_.push_back({.job = each->first, .progress = std::move(job.progress)});
+            each = jobs_.erase(each);
+        } else {
+            ++each;
+        }
+    }
+}
+
+void scheduler::settle(open_job& job, wall_time wall_now) {
+    open_due_occurrences(job, wall_now);
+    bool failed = false;
+    bool all_done = !job.progress.occurrences.empty();
+    for (std::size_t at = 0; at < job.progress.occurrences.size(); ++at) {
+        const auto& occurrence = job.progress.occurrences[at];
+        all_done = all_done && occurrence_done(job.spec, occurrence);
+        for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
+            const auto& spec = job.spec.steps[step];
+            std::uint32_t failures = 0;
+            for (const auto& task : occurrence.steps[step]) {
+                failures = spec.gang ? failures + task.failures : std::max(failures, task.failures);
+            }
+            failed = failed || (!spec.long_running && failures >= job.spec.most_attempts &&
+                                !step_done(spec, occurrence.steps[step]));
+        }
+    }
+    const auto expected = std::max<std::uint32_t>(job.spec.occurrences, 1);
+    all_done = all_done && job.progress.occurrences.size() == expected;
+    if (!all_done && (job.cancelled || failed)) {
+        stop_all(job);
+    } else {
+        stop_broken_gangs(job);
+    }
+    if (anything_assigned(job)) {
+        return;
+    }
+    if (all_done) {
+        finish(job, job_phase::completed, wall_now);
+    } else if (job.cancelled) {
+        finish(job, job_phase::cancelled, wall_now);
+    } else if (failed) {
+        finish(job, job_phase::failed, wall_now);
+    }
+}
+
+void scheduler::open_due_occurrences(open_job& job, wall_time wall_now) {
+    auto& occurrences = job.progress.occurrences;
+    while (occurrences.size() < job.spec.occurrences) {
+        const auto number = static_cast<std::uint32_t>(occurrences.size());
+        const auto due = job.spec.first_due + duration_cast<milliseconds>(job.spec.interval) *
+                                                  static_cast<std::int64_t>(number);
+        if (wall_now < due + due_margin) {
+            return;
+        }
+        occurrences.push_back(new_occurrence(job.spec, number));
+        auto& steps = job.extra.emplace_back();
+        for (const auto& step : job.spec.steps) {
+            steps.emplace_back(step.tasks);
+        }
+    }
+}
+
+void scheduler::stop_all(open_job& job) {
+    for_each_task(job, [&](const task_name& name, const task_ref& ref) {
+        stop(name, ref, job.cancelled ? "the job was cancelled" : "the job has failed");
+    });
+}
+
+// A gang of which one run has ended unfinished cannot go on.
+void scheduler::stop_broken_gangs(open_job& job) {
+    for_each_task(job, [&](const task_name& name, const task_ref& ref) {
+        if (!ref.step->gang || ref.task->phase != task_phase::assigned ||
+            step_done(*ref.step, *ref.tasks)) {
+            return;
+        }
+        const auto waits = [](const task_progress& one) {
+            return one.phase == task_phase::waiting;
+        };
+        const auto stops = [](const task_extra& one) { return one.stopping; };
+        if (std::any_of(ref.tasks->begin(), ref.tasks->end(), waits) ||
+            std::any_of(ref.extras->begin(), ref.extras->end(), stops)) {
+            stop(name, ref, "another run of the gang has ended");
+        }
+    });
+}
+
+bool scheduler::anything_assigned(const open_job& job) const {
+    for (const auto& occurrence : job.progress.occurrences) {
+        for (const auto& tasks : occurrence.steps) {
+            const auto assigned = [](const task_progress& task) {
+                return task.phase == task_phase::assigned;
+            };
+            if (std::any_of(tasks.begin(), tasks.end(), assigned)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+void scheduler::finish(open_job& job, job_phase phase, wall_time wall_now) {
+    job.progress.phase = phase;
+    job.progress.ended = wall_now;
+    job.dirty = false;
+    add_note("job-" + std::string{to_string(phase)}, {.step = {.job = job.spec.id}}, {}, {});
+}
+
+candidates scheduler::candidates_of(const service_id& service, time_point now, bool empty) const {
+    candidates found;
+    for (const auto& [host, worker] : workers_.all()) {
+        const bool usable = worker.facts.service == service && !worker.facts.draining &&
+                            !worker.gone && !worker.has_strays &&
+                            now <= worker.heard + options_.silence_limit &&
+                            !worker.record.suspect(now);
+        if (usable) {
+            found.push_back({.host = host,
+                             .rack = worker.facts.rack,
+                             .labels = worker.facts.labels,
+                             .left = empty ? worker.facts.capacity
+                                           : left_of(worker.facts.capacity, worker.used),
+                             .capacity_accelerators = worker.facts.capacity.accelerators.get()});
+        }
+    }
+    return found;
+}
+
+std::vector<scheduler::waiting_group> scheduler::waiting_groups(const directory& config,
+                                                                wall_time wall_now) {
+    std::vector<waiting_group> groups;
+    for (auto& [id, job] : jobs_) {
+        if (job.cancelled) {
+            continue;
+        }
+        const auto first = groups.size();
+        add_waiting_groups(job, groups);
+        const auto rank = groups.size() > first ? rank_of(job.spec, job.progress, wall_now) : 0;
+        for (auto at = first; at < groups.size(); ++at) {
+            groups[at].rank = rank;
+        }
+    }
+    mark_entitled(config, groups);
+    std::stable_sort(groups.begin(), groups.end(),
+                     [](const waiting_group& left, const waiting_group& right) {
+                         return std::tuple(left.job->spec.priority, !left.entitled, left.rank) <
+                                std::tuple(right.job->spec.priority, !right.entitled, right.rank);
+                     });
+    return groups;
+}
+
+void scheduler::add_waiting_groups(open_job& job, std::vector<waiting_group>& into) {
+    for (std::size_t at = 0; at < job.progress.occurrences.size(); ++at) {
+        const auto& occurrence = job.progress.occurrences[at];
+        for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
+            const auto& spec = job.spec.steps[step];
+            const auto& tasks = occurrence.steps[step];
+            const bool ready =
+                std::all_of(spec.after.begin(), spec.after.end(), [&](std::uint32_t earlier) {
+                    return step_done(job.spec.steps[earlier], occurrence.steps[earlier]);
+                });
+            if (!ready || step_done(spec, tasks)) {
+                continue;
+            }
+            task_group group{.step = {.job = job.spec.id,
+                                      .occurrence = occurrence.number,
+                                      .step = static_cast<std::uint32_t>(step)},
+                             .spec = &spec,
+                             .tasks = {},
+                             .on_host = {}};
+            for (std::size_t index = 0; index < tasks.size(); ++index) {
+                if (tasks[index].phase == task_phase::waiting) {
+                    group.tasks.push_back(static_cast<std::uint32_t>(index));
+                } else if (tasks[index].phase == task_phase::assigned) {
+                    ++group.on_host[tasks[index].place.host];
+                }
+            }
+            if (spec.gang) {
+                if (group.tasks.size() == tasks.size()) {
+                    into.push_back({.job = &job, .group = std::move(group)});
+                }
+                continue;
+            }
+            for (const auto index : group.tasks) {
+                auto single = group;
+                single.tasks = {index};
+                into.push_back({.job = &job, .group = std::move(single)});
+            }
+        }
+    }
+}
+
+// Marks the groups of priority 0 whose workspace holds no more than its guarantee with them.
+void scheduler::mark_entitled(const directory& config, std::vector<waiting_group>& groups) const {
+    std::map<workspace_id, std::uint64_t> open;
+    for (const auto& [id, job] : jobs_) {
+        if (job.spec.priority != 0) {
+            continue;
+        }
+        std::uint64_t widest = 0;
+        for (const auto& step : job.spec.steps) {
+            widest = std::max(widest, std::uint64_t{step.tasks} * step.per_task.accelerators.get());
+        }
+        open[job.spec.workspace] += widest;
+    }
+    for (auto& waiting : groups) {
+        const auto& spec = waiting.job->spec;
+        const auto* workspace = config.find_workspace(spec.workspace);
+        waiting.entitled = spec.priority == 0 && workspace != nullptr &&
+                           open[spec.workspace] <= workspace->guaranteed.get();
+    }
+}
+
+void scheduler::place_groups(std::vector<waiting_group>& groups, time_point now,
+                             wall_time /*wall_now*/) {
+    std::map<service_id, candidates> left;
+    // Tasks of one step that all failed to fit are not tried one by one.
+    std::set<step_name> hopeless;
+    // Tasks of one step count against each other's limit for one worker.
+    std::map<step_name, std::map<host_id, std::uint32_t>> placed;
+    for (auto& waiting : groups) {
+        const auto& spec = waiting.job->spec;
+        auto& step = waiting.group;
+        if (hopeless.contains(step.step)) {
+            continue;
+        }
+        if (!left.contains(spec.service)) {
+            left[spec.service] = candidates_of(spec.service, now, false);
+        }
+        for (const auto& [host, count] : placed[step.step]) {
+            step.on_host[host] += count;
+        }
+        const bool urgent = spec.priority == 0;
+        const auto cost = seconds(step.spec->estimated) * (options_.remote_penalty - 1);
+        const auto patience = urgent ? seconds(options_.reclaim_timeout) * urgent_patience_share
+                                     : cost * patience_share;
+        const bool impatient = seconds(now - waiting.job->since) > patience;
+        const placement_limits limits{.remote = impatient, .spread = impatient};
+        auto& from = left[spec.service];
+        if (const auto places = place(step, from, limits)) {
+            workload::take(from, step, *places);
+            for (const auto& one : *places) {
+                ++placed[step.step][one.host];
+            }
+            assign(waiting, *places, now);
+            continue;
+        }
+        hopeless.insert(step.step);
+        if (waiting.entitled) {
+            make_room(waiting, from, now);
+        }
+    }
+}
+
+void scheduler::assign(const waiting_group& waiting, const std::vector<placed_task>& places,
+                       time_point now) {
+    // Runs of a gang share one number, and its checkpoint is the same for all.
+    run_number run;
+    std::string checkpoint;
+    for (const auto& placed : places) {
+        const auto ref = find({.step = waiting.group.step, .index = placed.index});
+        run = std::max(run, ref->task->run);
+        checkpoint = std::max(checkpoint, ref->task->checkpoint);
+    }
+    run = run_number{run.get() + 1};
+    for (const auto& placed : places) {
+        const task_name name{.step = waiting.group.step, .index = placed.index};
+        const auto ref = find(name);
+        *ref->task = {.phase = task_phase::assigned,
+                      .run = run,
+                      .place = workers_.at(placed.host).facts.life,
+                      .failures = ref->task->failures,
+                      .checkpoint = checkpoint};
+        *ref->extra = {.stored_run = ref->extra->stored_run,
+                       .stopping = false,
+                       .assigned = now,
+                       .percent = 0,
+                       .percent_since = now};
+        hold(name, *ref);
+        ++counts_.started;
+        touched_.insert(placed.host);
+        add_note("run-assigned", name, run, placed.host,
+                 "priority " + std::to_string(waiting.job->spec.priority));
+    }
+    waiting.job->progress.phase = job_phase::active;
+    waiting.job->dirty = true;
+}
+
+// Frees room for a group that its workspace's guarantee entitles to it: stops the runs of lower
+// priority whose loss is least. What is freed, or already being freed, is kept for the group.
+bool scheduler::make_room(const waiting_group& waiting, candidates& left, time_point now) {
+    auto freed = left;
+    const auto give_back = [&](const host_id& host, const resources& amount) {
+        for (auto& one : freed) {
+            if (one.host == host) {
+                one.left.add(amount);
+            }
+        }
+    };
+    for (auto& [id, job] : jobs_) {
+        for_each_task(job, [&](const task_name&, const task_ref& ref) {
+            if (ref.task->phase == task_phase::assigned && ref.extra->stopping) {
+                give_back(ref.task->place.host, ref.step->per_task);
+            }
+        });
+    }
+    const auto reserve = [&](const std::vector<placed_task>& places) {
+        for (const auto& placed : places) {
+            for (auto& one : left) {
+                if (one.host == placed.host) {
+                    one.left = left_of(one.left, waiting.group.spec->per_task);
+                }
+            }
+        }
+    };
+    if (const auto soon = place(waiting.group, freed, {})) {
+        reserve(*soon);
+        return true;
+    }
+    const auto before = freed;
+    auto victims = victims_below(waiting.job->spec.priority, waiting.job->spec.service, now);
+    std::vector<victim> chosen;
+    std::optional<std::vector<placed_task>> places;
+    for (auto& one : victims) {
+        for (const auto& [host, amount] : one.held) {
+            give_back(host, amount);
+        }
+        chosen.push_back(std::move(one));
+        places = place(waiting.group, freed, {.remote = true, .spread = false});
+        if (places) {
+            break;
+        }
+    }
+    if (!places) {
+        places = place(waiting.group, freed, {});
+    }
+    if (!places) {
+        return false;
+    }
+    // Victims on hosts that the group does not need are spared.
+    for (const auto& one : chosen) {
+        const bool needed = std::any_of(places->begin(), places->end(), [&](const auto& placed) {
+            return one.held.contains(placed.host);
+        });
+        if (needed) {
+            stop_victim(one);
+        }
+    }
+    reserve(*places);
+    return true;
+}
+
+std::vector<scheduler::victim> scheduler::victims_below(std::uint32_t priority,
+                                                        const service_id& service, time_point now) {
+    std::vector<victim> victims;
+    for (auto& [id, job] : jobs_) {
+        if (job.spec.priority <= priority || job.spec.service != service) {
+            continue;
+        }
+        std::map<step_name, victim> gangs;
+        for_each_task(job, [&](const task_name& name, const task_ref& ref) {
+            if (ref.task->phase != task_phase::assigned || ref.extra->stopping) {
+                return;
+            }
+            victim single;
+            auto& into = ref.step->gang ? gangs[name.step] : single;
+            into.tasks.push_back(name);
+            into.held[ref.task->place.host].add(ref.step->per_task);
+            // A checkpoint keeps nearly all of the work.
+            const auto lost = ref.step->checkpoints ? 0.5 : seconds(now - ref.extra->assigned);
+            into.loss += lost * weight(ref.step->per_task);
+            if (!ref.step->gang) {
+                victims.push_back(std::move(single));
+            }
+        });
+        for (auto& [step, gang] : gangs) {
+            victims.push_back(std::move(gang));
+        }
+    }
+    std::sort(victims.begin(), victims.end(),
+              [](const victim& left, const victim& right) { return left.loss < right.loss; });
+    return victims;
+}
+
+void scheduler::stop_victim(const victim& chosen) {
+    for (const auto& name : chosen.tasks) {
+        if (const auto ref = find(name)) {
+            ++counts_.preempted;
+            stop(name, *ref, "makes room for a workspace's guarantee");
+        }
+    }
+}
+
+}  // namespace baobabrack::workload
--- /dev/null
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -0,0 +1,473 @@
+#include "baobabrack/workload/scheduler_node.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "baobabrack/observe/json_log.hpp"
+#include "baobabrack/workload/report_codec.hpp"
+
+namespace baobabrack::workload {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const topic_id intake_topic{"keyed.baobabrack-jobs"};
+const topic_id progress_topic{"keyed.baobabrack-progress"};
+constexpr std::string_view leader_key = "leader";
+
+constexpr duration tick_interval = 100ms;
+// A leader stores something this often, which proves that it still leads.
+constexpr duration proof_interval = 800ms;
+// A leader extends leases only this long after the last proof; a new one counts on it.
+constexpr duration proof_limit = 2000ms;
+// Followers take over from a leader that has stored nothing for this long: twice its interval.
+constexpr duration leader_silence = 1600ms;
+constexpr duration progress_poll_wait = 1200ms;
+// A scheduler far from the store decides slowly, so it waits longer before it claims the lead.
+constexpr int claim_delay_per_answer_time = 20;
+constexpr duration most_claim_delay = 800ms;
+// One try of an append; an answer takes some tens of milliseconds.
+constexpr duration append_try = 900ms;
+constexpr duration append_retry_delay = 60ms;
+// Fencing tokens: the term, then the guard's session under it, then the guard's own count.
+constexpr unsigned term_shift = 24;
+constexpr unsigned session_shift = 12;
+
+std::int64_t to_ms(duration span) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+}  // namespace
+
+/// One append of a submission or a cancel with its tries.
+struct scheduler_node::pending_append {
+    keyed_record record;
+    time_point deadline;
+    receipt_handler done;
+    /// Whether an earlier try may still take effect.
+    bool perhaps_stored = false;
+    unsigned tries = 0;
+};
+
+scheduler_node::scheduler_node(options opts, environment around)
+    : options_(std::move(opts)),
+      around_(around),
+      intake_(around.loop, around.log, {.topic = intake_topic}),
+      progress_(around.loop, around.log,
+                {.topic = progress_topic, .poll_wait = progress_poll_wait}),
+      writer_(around.loop, around.log, {.topic = progress_topic}),
+      tick_timer_(around.loop),
+      decide_timer_(around.loop) {
+}
+
+scheduler_node::~scheduler_node() = default;
+
+void scheduler_node::start() {
+    around_.network.on_message([this](const std::string& sender, const wire::PeerMessage& message) {
+        take_message(sender, message);
+    });
+    leader_seen_ = around_.loop.now();
+    intake_.start([this](const keyed_entry& entry) { take_intake(entry); }, [] {});
+    progress_.start([this](const keyed_entry& entry) { take_progress(entry); },
+                    [this, began = around_.loop.now(), first = true]() mutable {
+                        if (std::exchange(first, false)) {
+                            claim_delay_ =
+                                std::min((around_.loop.now() - began) * claim_delay_per_answer_time,
+                                         most_claim_delay);
+                        }
+                        consider_claim();
+                    });
+    tick();
+}
+
+void scheduler_node::tick() {
+    tick_timer_.arm(tick_interval, [this] { tick(); });
+    if (leading()) {
+        decide();
+    } else {
+        consider_claim();
+    }
+    update_metrics();
+}
+
+void scheduler_node::take_intake(const keyed_entry& entry) {
+    const auto id = book_.take_intake(entry.record.key, entry.record.value, entry.offset);
+    if (id.get().empty() || !leading()) {
+        return;
+    }
+    const auto* job = book_.find(id);
+    scheduler_->add(*job, around_.loop.now());
+    if (job->cancelled) {
+        scheduler_->cancel(id);
+    }
+    decide_timer_.arm(duration::zero(), [this] { decide(); });
+}
+
+void scheduler_node::take_progress(const keyed_entry& entry) {
+    if (entry.record.key == leader_key) {
+        take_leader(entry);
+        return;
+    }
+    book_.take_progress(entry.record.key, entry.record.value, entry.offset);
+}
+
+void scheduler_node::take_leader(const keyed_entry& entry) {
+    wire::WorkloadLeader record;
+    if (entry.offset < leader_offset_ || !record.ParseFromString(entry.record.value)) {
+        return;
+    }
+    if (record.scheduler() != leader_) {
+        log_event(log_level::info, "leader-changed")
+            .field("leader", record.scheduler())
+            .field("offset", entry.offset.get());
+    }
+    leader_ = record.scheduler();
+    leader_endpoint_ = record.zmq_endpoint();
+    leader_offset_ = entry.offset;
+    leader_resigned_ = record.resigned();
+    leader_seen_ = around_.loop.now();
+}
+
+void scheduler_node::consider_claim() {
+    if (leading() || claiming_ || resigning_ || !progress_.caught_up()) {
+        return;
+    }
+    const auto now = around_.loop.now();
+    const bool none = leader_.empty() || leader_resigned_ || leader_ == options_.id;
+    const auto silence = none ? claim_delay_ : leader_silence + claim_delay_;
+    const bool reads = progress_.confirmed() && now - *progress_.confirmed() < leader_silence;
+    if (reads && now - leader_seen_ >= silence) {
+        claim();
+    }
+}
+
+keyed_record scheduler_node::leader_record(bool resigned) {
+    wire::WorkloadLeader record;
+    record.set_scheduler(options_.id);
+    record.set_zmq_endpoint(options_.zmq_endpoint);
+    record.set_incarnation(options_.life.get());
+    record.set_term(leading() ? term_.get() : 0);
+    record.set_batch(++batches_);
+    record.set_resigned(resigned);
+    return {.key = std::string{leader_key}, .value = record.SerializeAsString()};
+}
+
+void scheduler_node::claim() {
+    claiming_ = true;
+    progress_.pause();
+    writer_.reset(progress_.next());
+    // Zero stands for no leader.
+    term_ = log_offset{progress_.next().get() + 1};
+    log_event(log_level::info, "lead-claimed")
+        .field("expected_end", progress_.next().get())
+        .field("previous", leader_)
+        .field("silent_ms", to_ms(around_.loop.now() - leader_seen_));
+    writer_.write({leader_record(false)}, [this](conditional_writer::outcome how) {
+        claiming_ = false;
+        if (how == conditional_writer::outcome::stored) {
+            lead();
+        } else {
+            leader_seen_ = around_.loop.now();
+            progress_.resume(progress_.next());
+        }
+    });
+}
+
+void scheduler_node::lead() {
+    const auto now = around_.loop.now();
+    leader_ = options_.id;
+    leader_endpoint_ = options_.zmq_endpoint;
+    leader_resigned_ = false;
+    lead_since_ = now;
+    sessions_.clear();
+    sessions_opened_ = 0;
+    scheduler_ = std::make_unique<scheduler>(options_.decisions);
+    const auto lease = options_.decisions.lease;
+    scheduler_->load(book_, now,
+                     now + proof_limit + lease + lease / 25 + options_.decisions.lease_slack);
+    log_event(log_level::info, "lead-taken")
+        .field("term", term_.get())
+        .field("open_jobs", static_cast<std::uint64_t>(scheduler_->open_jobs()));
+    decide();
+}
+
+void scheduler_node::step_down(const std::string& why) {
+    log_event(log_level::warning, "lead-lost").field("term", term_.get()).field("reason", why);
+    scheduler_.reset();
+    sessions_.clear();
+    decide_timer_.cancel();
+    leader_seen_ = around_.loop.now();
+    progress_.resume(writer_.end());
+}
+
+bool scheduler_node::proved_recently() const {
+    return around_.loop.now() - writer_.proved() < proof_limit;
+}
+
+const directory* scheduler_node::usable_config() const {
+    const auto confirmed = around_.config.confirmed();
+    const bool known = confirmed && around_.loop.now() - *confirmed < options_.config_limit;
+    return known && proved_recently() ? around_.config.current() : nullptr;
+}
+
+void scheduler_node::decide() {
+    if (!leading()) {
+        return;
+    }
+    scheduler_->decide(usable_config(), around_.loop.now(), around_.loop.wall_now());
+    log_notes();
+    flush();
+    auto hosts = scheduler_->take_touched_hosts();
+    hosts.merge(std::exchange(answers_due_, {}));
+    for (const auto& host : hosts) {
+        send_orders(host);
+    }
+}
+
+void scheduler_node::flush() {
+    if (writer_.busy() || !leading()) {
+        return;
+    }
+    auto batch = scheduler_->take_batch();
+    const bool nothing = batch.changes.empty() && batch.ends.empty();
+    const bool proof_due = around_.loop.now() - writer_.proved() >= proof_interval;
+    if (!nothing || proof_due || resigning_) {
+        write_batch(std::move(batch));
+    }
+}
+
+void scheduler_node::write_batch(progress_batch batch) {
+    std::vector<keyed_record> records;
+    for (const auto& change : batch.changes) {
+        records.push_back({.key = std::string{progress_prefix} + change.job.get(),
+                           .value = to_wire(change.progress).SerializeAsString()});
+    }
+    records.push_back(leader_record(resigning_));
+    const auto first = writer_.end();
+    writer_.write(
+        records, [this, batch = std::move(batch), records, first](conditional_writer::outcome how) {
+            if (how == conditional_writer::outcome::overtaken) {
+                step_down("another scheduler has stored its records first");
+                return;
+            }
+            batch_stored(batch, records, first);
+        });
+}
+
+void scheduler_node::batch_stored(const progress_batch& batch,
+                                  const std::vector<keyed_record>& records, log_offset first) {
+    std::uint64_t offset = first.get();
+    for (const auto& record : records) {
+        if (record.key != leader_key) {
+            book_.take_progress(record.key, record.value, log_offset{offset});
+        }
+        ++offset;
+    }
+    scheduler_->stored(batch);
+    if (resigning_) {
+        step_down("this scheduler is stopping");
+        return;
+    }
+    decide();
+}
+
+void scheduler_node::resign() {
+    resigning_ = true;
+    flush();
+}
+
+void scheduler_node::take_message(const std::string& /*sender*/, const wire::PeerMessage& message) {
+    if (message.kind_case() == wire::PeerMessage::kWorkloadReport) {
+        take_report(message.workload_report());
+    }
+}
+
+void scheduler_node::take_report(const wire::WorkloadReport& message) {
+    around_.network.connect(message.host(), message.zmq_endpoint());
+    if (!leading()) {
+        redirect(message);
+        return;
+    }
+    const host_id host{message.host()};
+    auto& session = sessions_[host];
+    if (session.guard_incarnation > message.guard_incarnation()) {
+        return;
+    }
+    if (session.guard_incarnation < message.guard_incarnation()) {
+        session = {};
+        session.guard_incarnation = message.guard_incarnation();
+        session.token_base = (term_.get() << term_shift) + (++sessions_opened_ << session_shift);
+        log_event(log_level::info, "guard-joined")
+            .field("host", message.host())
+            .field("worker", message.worker().id())
+            .field("token_base", session.token_base);
+    }
+    if (message.sequence() <= session.last_sequence) {
+        return;
+    }
+    session.last_sequence = message.sequence();
+    session.report_sent_at_us = message.sent_at_us();
+    // What a guard knew under an earlier leader may be of runs that it was told about since.
+    session.report = from_wire(message);
+    session.report.lists_known = message.lists_known() && message.term() == term_.get();
+    if (!message.worker().id().empty()) {
+        scheduler_->take(session.report, around_.loop.now());
+    }
+    answers_due_.insert(host);
+    decide();
+}
+
+void scheduler_node::redirect(const wire::WorkloadReport& message) {
+    if (leader_.empty() || leader_ == options_.id || leader_resigned_) {
+        return;
+    }
+    wire::PeerMessage out;
+    out.mutable_workload_redirect()->set_leader(leader_);
+    out.mutable_workload_redirect()->set_zmq_endpoint(leader_endpoint_);
+    around_.network.send(message.host(), out);
+}
+
+void scheduler_node::send_orders(const host_id& host) {
+    const auto found = sessions_.find(host);
+    if (found == sessions_.end() || !leading()) {
+        return;
+    }
+    auto& session = found->second;
+    wire::PeerMessage out;
+    auto& orders = *out.mutable_workload_orders();
+    orders.set_term(term_.get());
+    orders.set_sequence(++session.orders_sent);
+    orders.set_scheduler(options_.id);
+    orders.set_zmq_endpoint(options_.zmq_endpoint);
+    orders.set_guard_incarnation(session.guard_incarnation);
+    orders.set_token_base(session.token_base);
+    orders.set_report_sequence(session.last_sequence);
+    orders.set_report_sent_at_us(session.report_sent_at_us);
+    const auto lease = proved_recently() ? options_.decisions.lease : duration::zero();
+    orders.set_lease_ms(static_cast<std::uint64_t>(to_ms(lease)));
+    to_wire(scheduler_->orders_for(session.report), orders);
+    around_.network.send(host.get(), out);
+}
+
+bool scheduler_node::fresh() const {
+    const auto now = around_.loop.now();
+    const auto recent = [&](const std::optional<time_point>& moment) {
+        return moment && now - *moment < options_.answer_limit + options_.answer_limit / 2;
+    };
+    const bool progress_known = leading() ? proved_recently() : recent(progress_.confirmed());
+    return intake_.caught_up() && recent(intake_.confirmed()) && progress_known;
+}
+
+void scheduler_node::log_notes() {
+    for (const auto& note : scheduler_->take_notes()) {
+        log_event event(log_level::info, note.event);
+        event.field("job", note.task.step.job.get());
+        if (note.run.get() > 0) {
+            event.field("task", to_text(note.task)).field("run", note.run.get());
+        }
+        if (!note.host.get().empty()) {
+            event.field("host", note.host.get());
+        }
+        if (!note.detail.empty()) {
+            event.field("reason", note.detail);
+        }
+        event.field("term", term_.get());
+        if (const auto* config = around_.config.current()) {
+            event.field("config_version", config->version.get());
+        }
+    }
+}
+
+void scheduler_node::update_metrics() {
+    auto& metrics = around_.metrics;
+    metrics.get_gauge("baobabrack_leading", "Whether this scheduler leads").set(leading() ? 1 : 0);
+    metrics.get_gauge("baobabrack_jobs", "Jobs that are known")
+        .set(static_cast<double>(book_.jobs().size()));
+    metrics.get_gauge("baobabrack_records_unreadable", "Stored records that could not be read")
+        .set(static_cast<double>(book_.unreadable()));
+    if (!leading()) {
+        return;
+    }
+    const auto& counts = scheduler_->counts();
+    const auto set = [&](const char* event, std::uint64_t value) {
+        metrics
+            .get_gauge("baobabrack_runs", "Runs by what became of them, under this leader",
+                       {{"event", event}})
+            .set(static_cast<double>(value));
+    };
+    set("started", counts.started);
+    set("done", counts.done);
+    set("failed", counts.failed);
+    set("stopped", counts.stopped);
+    set("lost", counts.lost);
+    set("refused", counts.refused);
+    set("preempted", counts.preempted);
+    metrics.get_gauge("baobabrack_open_jobs", "Jobs that have not ended")
+        .set(static_cast<double>(scheduler_->open_jobs()));
+}
+
+void scheduler_node::submit(const job_spec& spec, duration deadline, receipt_handler done) {
+    append_intake({.key = std::string{submission_prefix} + spec.id.get(),
+                   .value = to_wire(spec).SerializeAsString()},
+                  deadline, std::move(done));
+}
+
+void scheduler_node::cancel(const job_id& id, duration deadline, receipt_handler done) {
+    wire::WorkloadCancel record;
+    record.set_cancelled_unix_ms(
+        static_cast<std::uint64_t>(around_.loop.wall_now().time_since_epoch().count()));
+    append_intake(
+        {.key = std::string{cancel_prefix} + id.get(), .value = record.SerializeAsString()},
+        deadline, std::move(done));
+}
+
+void scheduler_node::append_intake(keyed_record record, duration deadline, receipt_handler done) {
+    auto append = std::make_shared<pending_append>();
+    append->record = std::move(record);
+    append->deadline = around_.loop.now() + deadline;
+    append->done = std::move(done);
+    try_append(append);
+}
+
+void scheduler_node::try_append(const std::shared_ptr<pending_append>& append) {
+    const auto left = append->deadline - around_.loop.now();
+    if (left <= duration::zero()) {
+        append->done(append->perhaps_stored ? receipt::unknown : receipt::not_stored);
+        return;
+    }
+    ++append->tries;
+    around_.log.append(
+        {.topic = intake_topic,
+         .records = {append->record},
+         .expected_end = std::nullopt,
+         .timeout = std::min(left, append_try)},
+        [this, append, alive = std::weak_ptr<bool>(alive_)](const result<append_reply>& reply) {
+            if (!alive.expired()) {
+                append_answered(append, reply);
+            }
+        });
+}
+
+// A repetition does no harm: the first record of a job stands.
+void scheduler_node::append_answered(const std::shared_ptr<pending_append>& append,
+                                     const result<append_reply>& reply) {
+    if (reply) {
+        take_intake({.offset = reply.value().first, .record = append->record});
+        append->done(receipt::stored);
+        return;
+    }
+    append->perhaps_stored =
+        append->perhaps_stored || reply.error().kind == failure_kind::timed_out;
+    log_event(log_level::warning, "append-failed")
+        .field("key", append->record.key)
+        .field("try", append->tries)
+        .field("reason", to_string(reply.error().kind));
+    around_.loop.schedule(append_retry_delay, [this, append, alive = std::weak_ptr<bool>(alive_)] {
+        if (!alive.expired()) {
+            try_append(append);
+        }
+    });
+}
+
+}  // namespace baobabrack::workload
--- /dev/null
+++ b/src/baobabrack/workload/scheduler_node.hpp
@@ -0,0 +1,144 @@
+#ifndef BAOBABRACK_WORKLOAD_SCHEDULER_NODE_HPP
+#define BAOBABRACK_WORKLOAD_SCHEDULER_NODE_HPP
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "baobabrack/keyed/conditional_writer.hpp"
+#include "baobabrack/keyed/topic_follower.hpp"
+#include "baobabrack/membership/peer_network.hpp"
+#include "baobabrack/metrics/registry.hpp"
+#include "baobabrack/workload/directory_source.hpp"
+#include "baobabrack/workload/scheduler.hpp"
+
+namespace baobabrack::workload {
+
+/// One of several schedulers. Every one takes in jobs and cancels and knows each job from the
+/// topics; one at a time leads: it decides, stores what it decided under the condition that nobody
+/// else has stored anything, and then gives its orders to the guards.
+class scheduler_node {
+public:
+    struct options {
+        std::string id;
+        incarnation life;
+        std::string zmq_endpoint;
+        scheduler::options decisions;
+        /// A scheduler that knows the configuration to be older than this starts nothing.
+        duration config_limit = std::chrono::milliseconds{2500};
+        /// Answers about jobs need knowledge that is at most this old.
+        duration answer_limit = std::chrono::milliseconds{2000};
+    };
+
+    /// What a job needs to be told about; all are owned by the caller.
+    struct environment {
+        runtime& loop;
+        keyed_log& log;
+        peer_network& network;
+        const directory_source& config;
+        metrics_registry& metrics;
+    };
+
+    /// What became of a submission or a cancel.
+    enum class receipt {
+        stored,
+        /// Nothing was stored and nothing will be.
+        not_stored,
+        /// It may have been stored, or may be later.
+        unknown,
+    };
+    using receipt_handler = std::function<void(receipt)>;
+
+    scheduler_node(options opts, environment around);
+    scheduler_node(const scheduler_node&) = delete;
+    scheduler_node& operator=(const scheduler_node&) = delete;
+    ~scheduler_node();
+
+    void start();
+
+    /// Stores a job; the handler runs once, at the latest when the deadline has passed.
+    void submit(const job_spec& spec, duration deadline, receipt_handler done);
+
+    /// Stores that a job is to be cancelled.
+    void cancel(const job_id& id, duration deadline, receipt_handler done);
+
+    /// @return the jobs that are stored
+    const job_book& book() const { return book_; }
+
+    /// @return whether the book is complete up to a moment ago
+    bool fresh() const;
+
+    bool leading() const { return scheduler_ != nullptr; }
+
+    /// Hands over, if this scheduler leads, and takes the lead no more.
+    void resign();
+
+private:
+    struct guard_session {
+        std::uint64_t guard_incarnation = 0;
+        std::uint64_t last_sequence = 0;
+        std::uint64_t token_base = 0;
+        std::uint64_t orders_sent = 0;
+        std::uint64_t report_sent_at_us = 0;
+        worker_report report;
+    };
+    struct pending_append;
+
+    void tick();
+    void take_intake(const keyed_entry& entry);
+    void take_progress(const keyed_entry& entry);
+    void take_leader(const keyed_entry& entry);
+    void consider_claim();
+    void claim();
+    void lead();
+    void step_down(const std::string& why);
+    void decide();
+    void flush();
+    void write_batch(progress_batch batch);
+    keyed_record leader_record(bool resigned);
+    void batch_stored(const progress_batch& batch, const std::vector<keyed_record>& records,
+                      log_offset first);
+    void take_message(const std::string& sender, const wire::PeerMessage& message);
+    void take_report(const wire::WorkloadReport& message);
+    void redirect(const wire::WorkloadReport& message);
+    void send_orders(const host_id& host);
+    bool proved_recently() const;
+    const directory* usable_config() const;
+    void log_notes();
+    void update_metrics();
+    void append_intake(keyed_record record, duration deadline, receipt_handler done);
+    void try_append(const std::shared_ptr<pending_append>& append);
+    void append_answered(const std::shared_ptr<pending_append>& append,
+                         const result<append_reply>& reply);
+
+    options options_;
+    environment around_;
+    job_book book_;
+    topic_follower intake_;
+    topic_follower progress_;
+    conditional_writer writer_;
+    std::unique_ptr<scheduler> scheduler_;
+    std::map<host_id, guard_session> sessions_;
+    // Guards whose reports have not been answered.
+    std::set<host_id> answers_due_;
+    std::uint64_t sessions_opened_ = 0;
+    std::uint64_t batches_ = 0;
+    log_offset term_;
+    bool claiming_ = false;
+    bool resigning_ = false;
+    std::string leader_;
+    std::string leader_endpoint_;
+    log_offset leader_offset_;
+    bool leader_resigned_ = false;
+    time_point leader_seen_{};
+    duration claim_delay_{};
+    time_point lead_since_{};
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    scoped_timer tick_timer_;
+    scoped_timer decide_timer_;
+};
+
+}  // namespace baobabrack::workload
+
+#endif
--- /dev/null
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -0,0 +1,211 @@
+// What guards report, and the orders that answer them.
+#include <algorithm>
+
+#include "baobabrack/workload/scheduler.hpp"
+
+namespace baobabrack::workload {
+
+namespace {
+
+// A run whose progress does not move for this long, and a share of its estimate more, stands
+// still: a sound worker of a sixth of the speed still moves by a percent in that time.
+constexpr duration stall_base = std::chrono::milliseconds{2500};
+constexpr double stall_share = 0.12;
+constexpr std::uint32_t whole_percent = 100;
+
+}  // namespace
+
+void scheduler::take(const worker_report& report, time_point now) {
+    const auto& life = report.facts.life;
+    auto& worker = workers_.at(life.host);
+    if (worker.facts.life != life) {
+        lose_runs(life, "a newer worker runs on the host", now);
+        worker.facts.life = life;
+        worker.used = {};
+        worker.record = {};
+        worker.gone = false;
+    }
+    worker.facts = report.facts;
+    worker.heard = now;
+    worker.lapsed_after = std::max(
+        worker.lapsed_after, now + options_.lease + options_.lease / 25 + options_.lease_slack);
+    if (!report.lists_known) {
+        return;
+    }
+    worker.gone = false;
+    for (const auto& end : report.ends) {
+        auto& taken = ends_taken_[life];
+        if (end.number > taken) {
+            taken = end.number;
+            ends_dirty_ = true;
+            apply_end(end, life, now);
+        }
+    }
+    for (const auto& refusal : report.refusals) {
+        apply_refusal(refusal, life, now);
+    }
+    apply_runs(report, now);
+}
+
+void scheduler::apply_end(const run_end& end, const worker_life& place, time_point now) {
+    const auto ref = find(end.task);
+    const bool current = ref && ref->task->phase == task_phase::assigned &&
+                         ref->task->run == end.run && ref->task->place == place;
+    add_note("run-ended", end.task, end.run, place.host,
+             std::string{to_string(end.how)} + (current ? "" : ", of an earlier run"));
+    if (!current) {
+        return;
+    }
+    auto& record = workers_.at(place.host).record;
+    if (end.how == end_kind::done) {
+        ++counts_.done;
+        record.succeeded(now);
+        release(end.task, *ref);
+        ref->task->phase = task_phase::done;
+        ref->extra->stopping = false;
+        ref->job->dirty = true;
+        return;
+    }
+    if (end.how == end_kind::failed) {
+        ++counts_.failed;
+        ++ref->task->failures;
+        record.failed(end.task.step.job, now);
+    }
+    end_run(end.task, *ref, end.checkpoint);
+}
+
+void scheduler::apply_refusal(const refused_run& refusal, const worker_life& place,
+                              time_point now) {
+    const auto ref = find(refusal.task);
+    const bool current = ref && ref->task->phase == task_phase::assigned &&
+                         ref->task->run == refusal.run && ref->task->place == place;
+    if (!current) {
+        return;
+    }
+    ++counts_.refused;
+    add_note("start-refused", refusal.task, refusal.run, place.host, refusal.reason);
+    if (refusal.reason == "unavailable" || refusal.reason == "no_room") {
+        workers_.at(place.host).record.failed(refusal.task.step.job, now);
+    }
+    end_run(refusal.task, *ref, "");
+}
+
+// Takes checkpoints and progress from the runs that are listed.
+void scheduler::apply_runs(const worker_report& report, time_point now) {
+    auto& worker = workers_.at(report.facts.life.host);
+    worker.has_strays = false;
+    for (const auto& run : report.runs) {
+        const auto ref = find(run.task);
+        const bool wanted = ref && ref->task->phase == task_phase::assigned &&
+                            ref->task->run == run.run && ref->task->place == report.facts.life;
+        if (!wanted) {
+            worker.has_strays = true;
+            touched_.insert(report.facts.life.host);
+            continue;
+        }
+        if (!run.checkpoint.empty() && ref->step->checkpoints) {
+            ref->task->checkpoint = run.checkpoint;
+        }
+        watch_progress(run.task, run, *ref, now);
+    }
+}
+
+void scheduler::watch_progress(const task_name& name, const run_report& run, const task_ref& ref,
+                               time_point now) {
+    if (run.percent != ref.extra->percent || run.percent >= whole_percent ||
+        ref.step->long_running) {
+        ref.extra->percent = run.percent;
+        ref.extra->percent_since = now;
+        return;
+    }
+    const auto patience =
+        stall_base + std::chrono::duration_cast<duration>(ref.step->estimated * stall_share);
+    if (now - ref.extra->percent_since > patience && !ref.extra->stopping) {
+        workers_.at(ref.task->place.host).record.failed(name.step.job, now);
+        stop(name, ref, "stands still at " + std::to_string(run.percent) + "%");
+    }
+}
+
+// Gives up the runs on other lives of a host than the one given.
+void scheduler::lose_runs(const worker_life& place, const std::string& why, time_point /*now*/) {
+    const auto found = runs_on_.find(place.host);
+    if (found == runs_on_.end()) {
+        return;
+    }
+    const auto names = found->second;
+    for (const auto& name : names) {
+        const auto ref = find(name);
+        if (ref && ref->task->phase == task_phase::assigned && ref->task->place != place) {
+            ++counts_.lost;
+            add_note("run-lost", name, ref->task->run, place.host, why);
+            end_run(name, *ref, "");
+        }
+    }
+}
+
+// A worker whose lease has lapsed for certain runs nothing any more.
+void scheduler::expire_silent(time_point now) {
+    for (auto& [host, worker] : workers_.all()) {
+        const bool silent = now > worker.heard + options_.silence_limit;
+        if (!worker.gone && silent && now > worker.lapsed_after) {
+            worker.gone = true;
+            worker.used = {};
+            lose_runs({.host = host, .worker = {}, .life = {}}, "the lease has lapsed", now);
+        }
+    }
+}
+
+worker_orders scheduler::orders_for(const worker_report& report) {
+    const auto& life = report.facts.life;
+    worker_orders orders{.worker = life, .ends_stored = 0, .starts = {}, .stops = {}};
+    if (const auto stored = ends_stored_.find(life); stored != ends_stored_.end()) {
+        orders.ends_stored = stored->second;
+    }
+    if (!report.lists_known) {
+        return orders;
+    }
+    std::set<std::pair<task_name, run_number>> known;
+    for (const auto& run : report.runs) {
+        known.emplace(run.task, run.run);
+    }
+    std::set<std::pair<task_name, run_number>> over;
+    for (const auto& end : report.ends) {
+        over.emplace(end.task, end.run);
+    }
+    for (const auto& refusal : report.refusals) {
+        over.emplace(refusal.task, refusal.run);
+    }
+    std::set<std::pair<task_name, run_number>> wanted;
+    const auto runs = runs_on_.find(life.host);
+    for (const auto& name : runs == runs_on_.end() ? std::set<task_name>{} : runs->second) {
+        const auto ref = find(name);
+        if (!ref || ref->task->phase != task_phase::assigned || ref->task->place != life) {
+            continue;
+        }
+        const std::pair id{name, ref->task->run};
+        if (ref->extra->stopping) {
+            wanted.insert(id);
+            if (!over.contains(id)) {
+                orders.stops.push_back({.task = name, .run = ref->task->run});
+            }
+            continue;
+        }
+        wanted.insert(id);
+        const bool stored = ref->extra->stored_run == ref->task->run;
+        if (stored && !known.contains(id) && !over.contains(id)) {
+            orders.starts.push_back({.task = name,
+                                     .run = ref->task->run,
+                                     .payload = ref->job->spec.payload,
+                                     .checkpoint = ref->task->checkpoint,
+                                     .needs = ref->step->per_task});
+        }
+    }
+    for (const auto& run : report.runs) {
+        if (!wanted.contains({run.task, run.run})) {
+            orders.stops.push_back({.task = run.task, .run = run.run});
+        }
+    }
+    return orders;
+}
+
+}  // namespace baobabrack::workload
--- /dev/null
+++ b/src/baobabrack/workload/worker_guard.cpp
@@ -0,0 +1,491 @@
+#include "baobabrack/workload/worker_guard.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "baobabrack/observe/json_log.hpp"
+#include "baobabrack/workload/report_codec.hpp"
+
+namespace baobabrack::workload {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Three reports fit into the time after which a scheduler takes a host for silent.
+constexpr duration beat_interval = 500ms;
+// Without orders for this long the leader is looked for at every seed.
+constexpr duration leader_silence = 1200ms;
+constexpr duration hold_wait = 1000ms;
+constexpr duration call_timeout = 700ms;
+constexpr duration hold_retry = 200ms;
+constexpr duration stop_retry = 400ms;
+// Steps of the token: past an unanswered call, and past a token that someone else used.
+constexpr std::uint64_t next_token = 1;
+constexpr std::uint64_t token_jump = 1U << 13U;
+
+}  // namespace
+
+std::string_view to_string(call_end end) {
+    switch (end) {
+        case call_end::accepted:
+            return "accepted";
+        case call_end::fenced:
+            return "fenced";
+        case call_end::outdated:
+            return "outdated";
+        case call_end::late:
+            return "late";
+        case call_end::no_room:
+            return "no_room";
+        case call_end::unavailable:
+            return "unavailable";
+        case call_end::rejected:
+            return "rejected";
+        case call_end::other_worker:
+            return "other_worker";
+        case call_end::unanswered:
+            return "unanswered";
+    }
+    return "unknown";
+}
+
+worker_guard::worker_guard(options opts, runtime& loop, peer_network& network, worker_port& worker,
+                           metrics_registry& metrics)
+    : options_(std::move(opts)),
+      loop_(loop),
+      network_(network),
+      worker_(worker),
+      metrics_(metrics),
+      beat_timer_(loop),
+      report_timer_(loop),
+      hold_timer_(loop) {
+}
+
+void worker_guard::start() {
+    network_.on_message([this](const std::string& /*sender*/, const wire::PeerMessage& message) {
+        take_message(message);
+    });
+    beat();
+}
+
+void worker_guard::set_seeds(std::vector<std::string> seeds) {
+    options_.seeds = std::move(seeds);
+}
+
+void worker_guard::beat() {
+    beat_timer_.arm(beat_interval, [this] { beat(); });
+    send_report();
+}
+
+bool worker_guard::announce(const worker_announcement& announcement) {
+    const auto& life = announcement.facts.life;
+    const bool known = facts_ && facts_->life == life;
+    if (facts_ && !known && life.life < facts_->life.life) {
+        return false;
+    }
+    if (known && announcement.sequence <= announced_) {
+        return false;
+    }
+    if (!known) {
+        forget_worker();
+        log_event(log_level::info, "worker-announced")
+            .field("worker", life.worker.get())
+            .field("incarnation", life.life.get());
+    }
+    const bool drains = announcement.facts.draining && (!known || !facts_->draining);
+    facts_ = announcement.facts;
+    announced_ = announcement.sequence;
+    if (clock_at_ == time_point{}) {
+        take_clock(announcement.clock);
+    }
+    if (drains) {
+        log_event(log_level::info, "worker-draining").field("worker", life.worker.get());
+    }
+    if (!known || drains) {
+        report();
+        hold_soon();
+    }
+    return true;
+}
+
+void worker_guard::leave(const worker_id& worker) {
+    if (!facts_ || facts_->life.worker != worker) {
+        return;
+    }
+    log_event(log_level::info, "worker-left").field("worker", worker.get());
+    facts_->draining = true;
+    report();
+}
+
+// Nothing that was known of an earlier life holds for the one that runs now.
+void worker_guard::forget_worker() {
+    runs_.clear();
+    ends_.clear();
+    starts_.clear();
+    refusals_.clear();
+    stops_sent_.clear();
+    lists_known_ = false;
+    ends_stored_ = 0;
+    last_ends_reported_ = 0;
+    clock_at_ = {};
+    hold_taken_ = holds_sent_;
+    hold_open_ = false;
+}
+
+void worker_guard::report() {
+    if (!report_timer_.armed()) {
+        report_timer_.arm(duration::zero(), [this] { send_report(); });
+    }
+}
+
+void worker_guard::send_report() {
+    report_timer_.cancel();
+    worker_report lists;
+    lists.facts.life.host = options_.host;
+    if (facts_) {
+        lists.facts = *facts_;
+        lists.lists_known = lists_known_;
+        lists.runs = runs_;
+        for (const auto& [key, one] : starts_) {
+            if (!listed(key) && !ended(key)) {
+                lists.runs.push_back({.task = key.first, .run = key.second});
+            }
+        }
+        lists.ends = ends_;
+        for (auto& [key, refusal] : refusals_) {
+            lists.refusals.push_back(
+                {.task = key.first, .run = key.second, .reason = refusal.reason});
+            refusal.first_report =
+                refusal.first_report == 0 ? reports_sent_ + 1 : refusal.first_report;
+        }
+    }
+    wire::PeerMessage out;
+    auto& message = *out.mutable_workload_report();
+    to_wire(lists, message);
+    message.set_guard_incarnation(options_.life.get());
+    message.set_zmq_endpoint(options_.zmq_endpoint);
+    message.set_term(term_);
+    message.set_sequence(++reports_sent_);
+    message.set_sent_at_us(static_cast<std::uint64_t>(loop_.now().time_since_epoch().count()));
+    std::set<std::string> receivers;
+    if (!leader_endpoint_.empty()) {
+        receivers.insert(leader_endpoint_);
+    }
+    if (leader_endpoint_.empty() || loop_.now() - orders_at_ > leader_silence) {
+        receivers.insert(options_.seeds.begin(), options_.seeds.end());
+    }
+    for (const auto& endpoint : receivers) {
+        network_.connect(endpoint, endpoint);
+        network_.send(endpoint, out);
+    }
+}
+
+void worker_guard::take_message(const wire::PeerMessage& message) {
+    if (message.kind_case() == wire::PeerMessage::kWorkloadOrders) {
+        take_orders(message.workload_orders());
+    } else if (message.kind_case() == wire::PeerMessage::kWorkloadRedirect) {
+        const auto& endpoint = message.workload_redirect().zmq_endpoint();
+        const bool silent = loop_.now() - orders_at_ > leader_silence;
+        if (endpoint != leader_endpoint_ && (silent || leader_endpoint_.empty())) {
+            leader_endpoint_ = endpoint;
+            report();
+        }
+    }
+}
+
+void worker_guard::take_orders(const wire::WorkloadOrders& message) {
+    if (message.guard_incarnation() != options_.life.get() || message.term() < term_) {
+        return;
+    }
+    if (message.term() > term_) {
+        follow(message);
+    }
+    if (message.sequence() <= orders_seen_) {
+        return;
+    }
+    orders_seen_ = message.sequence();
+    orders_at_ = loop_.now();
+    leader_endpoint_ = message.zmq_endpoint();
+    const time_point sent{duration{static_cast<std::int64_t>(message.report_sent_at_us())}};
+    const auto lease = std::chrono::milliseconds{static_cast<std::int64_t>(message.lease_ms())};
+    if (message.lease_ms() > 0) {
+        granted_until_ = std::max(granted_until_, sent + lease);
+    }
+    prune_refusals(message.report_sequence());
+    const auto orders = from_wire(options_.host, message);
+    if (!facts_ || orders.worker != facts_->life) {
+        return;
+    }
+    ends_stored_ = std::max(ends_stored_, orders.ends_stored);
+    for (const auto& run : orders.stops) {
+        order_stop(run);
+    }
+    for (const auto& run : orders.starts) {
+        order_start(run);
+    }
+    hold_soon();
+}
+
+void worker_guard::follow(const wire::WorkloadOrders& message) {
+    log_event(log_level::info, "leader-followed")
+        .field("leader", message.scheduler())
+        .field("term", message.term())
+        .field("previous_term", term_);
+    term_ = message.term();
+    orders_seen_ = 0;
+    token_ = fencing_token{std::max(token_.get() + next_token, message.token_base())};
+    // The new leader needs lists from after every call that an earlier one has caused.
+    lists_known_ = false;
+    hold_taken_ = holds_sent_;
+    hold_open_ = false;
+}
+
+void worker_guard::prune_refusals(std::uint64_t answered) {
+    std::erase_if(refusals_, [&](const auto& one) {
+        return one.second.first_report != 0 && one.second.first_report <= answered;
+    });
+}
+
+bool worker_guard::listed(const run_key& key) const {
+    return std::any_of(runs_.begin(), runs_.end(), [&](const run_report& run) {
+        return run_key{run.task, run.run} == key;
+    });
+}
+
+bool worker_guard::ended(const run_key& key) const {
+    return std::any_of(ends_.begin(), ends_.end(), [&](const run_end& end) {
+        return run_key{end.task, end.run} == key;
+    });
+}
+
+// Counts what this guard has started; runs from before its own start are the leader's to count.
+bool worker_guard::has_room(const resources& needs) const {
+    resources used = needs;
+    for (const auto& [key, one] : starts_) {
+        if (!ended(key)) {
+            used.add(one.run.needs);
+        }
+    }
+    return facts_->capacity.holds(used);
+}
+
+void worker_guard::order_start(const wanted_run& run) {
+    const run_key key{run.task, run.run};
+    if (!lists_known_ || starts_.contains(key) || refusals_.contains(key) || listed(key) ||
+        ended(key)) {
+        return;
+    }
+    const auto until = lease();
+    if (!until) {
+        return;
+    }
+    if (facts_->draining) {
+        refuse(key, "the worker is draining");
+        return;
+    }
+    if (!has_room(run.needs)) {
+        refuse(key, "no room beside the runs that this guard has started");
+        return;
+    }
+    starts_[key] = {.run = run, .phase = start_phase::calling, .decided_by_hold = 0};
+    log_event(log_level::info, "run-starting")
+        .field("job", run.task.step.job.get())
+        .field("task", to_text(run.task))
+        .field("run", run.run.get())
+        .field("term", term_)
+        .field("token", token_.get());
+    worker_.start({.worker = facts_->life,
+                   .run = run,
+                   .token = token_,
+                   .lease = *until,
+                   .timeout = call_timeout},
+                  [this, key, life = facts_->life](const call_reply& reply) {
+                      start_answered(key, life, reply);
+                  });
+}
+
+void worker_guard::start_answered(const run_key& key, const worker_life& life,
+                                  const call_reply& reply) {
+    const auto found = starts_.find(key);
+    if (!facts_ || facts_->life != life || found == starts_.end()) {
+        return;
+    }
+    take_clock(reply.clock);
+    log_event(reply.end == call_end::accepted ? log_level::info : log_level::warning,
+              "start-answered")
+        .field("job", key.first.step.job.get())
+        .field("task", to_text(key.first))
+        .field("run", key.second.get())
+        .field("outcome", to_string(reply.end));
+    metrics_
+        .get_counter("baobabrack_worker_starts_total", "Starts by how the worker answered",
+                     {{"outcome", std::string{to_string(reply.end)}}})
+        .add();
+    switch (reply.end) {
+        case call_end::accepted:
+            found->second.phase = start_phase::accepted;
+            found->second.decided_by_hold = holds_sent_ + 1;
+            break;
+        case call_end::unanswered:
+            found->second.phase = start_phase::unclear;
+            raise_token(next_token);
+            found->second.decided_by_hold = holds_sent_ + 1;
+            hold_open_ = false;
+            hold_soon();
+            break;
+        default:
+            starts_.erase(found);
+            refuse(key, std::string{to_string(reply.end)});
+            break;
+    }
+    report();
+}
+
+void worker_guard::order_stop(const unwanted_run& run) {
+    const run_key key{run.task, run.run};
+    const bool known = listed(key) || starts_.contains(key);
+    if (!known) {
+        if (lists_known_ && !ended(key)) {
+            refuse(key, "it was never started");
+        }
+        return;
+    }
+    auto& sent = stops_sent_[key];
+    if (sent != time_point{} && loop_.now() - sent < stop_retry) {
+        return;
+    }
+    sent = loop_.now();
+    log_event(log_level::info, "run-stopping")
+        .field("job", run.task.step.job.get())
+        .field("task", to_text(run.task))
+        .field("run", run.run.get())
+        .field("term", term_);
+    worker_.stop({.worker = facts_->life, .run = run, .token = token_, .timeout = call_timeout},
+                 [this](const call_reply& reply) {
+                     take_clock(reply.clock);
+                     if (reply.end == call_end::unanswered || reply.end == call_end::fenced) {
+                         stops_sent_.clear();
+                     }
+                 });
+}
+
+void worker_guard::refuse(const run_key& key, const std::string& reason) {
+    log_event(log_level::warning, "start-refused")
+        .field("job", key.first.step.job.get())
+        .field("task", to_text(key.first))
+        .field("run", key.second.get())
+        .field("reason", reason);
+    refusals_[key] = {.reason = reason, .first_report = 0};
+    report();
+}
+
+void worker_guard::raise_token(std::uint64_t by) {
+    token_ = fencing_token{token_.get() + by};
+}
+
+// The worker's clock stood at least at this value when the answer came.
+void worker_guard::take_clock(const std::optional<worker_clock>& clock) {
+    if (clock) {
+        clock_ = *clock;
+        clock_at_ = loop_.now();
+    }
+}
+
+std::optional<worker_clock> worker_guard::lease() const {
+    const auto left = granted_until_ - loop_.now();
+    if (clock_at_ == time_point{} || left <= duration::zero()) {
+        return std::nullopt;
+    }
+    const auto span =
+        std::chrono::duration_cast<std::chrono::milliseconds>(granted_until_ - clock_at_);
+    return worker_clock{clock_.get() + span.count()};
+}
+
+void worker_guard::hold_soon() {
+    hold_timer_.arm(duration::zero(), [this] { hold(); });
+}
+
+void worker_guard::hold() {
+    if (!facts_ || term_ == 0 || hold_open_) {
+        return;
+    }
+    const auto number = ++holds_sent_;
+    hold_open_ = true;
+    open_hold_ = number;
+    const auto wait = lists_known_ ? hold_wait : duration::zero();
+    worker_.hold({.worker = facts_->life,
+                  .token = token_,
+                  .ends_seen = ends_stored_,
+                  .lease = lease(),
+                  .wait = wait,
+                  .timeout = wait + call_timeout},
+                 [this, number, life = facts_->life](const hold_reply& reply) {
+                     hold_answered(number, life, reply);
+                 });
+}
+
+void worker_guard::hold_answered(std::uint64_t number, const worker_life& life,
+                                 const hold_reply& reply) {
+    if (!facts_ || facts_->life != life || number <= hold_taken_) {
+        return;
+    }
+    take_clock(reply.reply.clock);
+    const bool newest = number == open_hold_;
+    hold_open_ = hold_open_ && !newest;
+    if (!newest && reply.reply.end != call_end::accepted) {
+        return;
+    }
+    switch (reply.reply.end) {
+        case call_end::accepted:
+            hold_taken_ = number;
+            take_lists(number, reply);
+            hold_soon();
+            return;
+        case call_end::fenced:
+            raise_token(token_jump);
+            hold_soon();
+            return;
+        case call_end::unanswered:
+            raise_token(next_token);
+            break;
+        default:
+            break;
+    }
+    if (!hold_timer_.armed()) {
+        hold_timer_.arm(hold_retry, [this] { hold(); });
+    }
+}
+
+void worker_guard::take_lists(std::uint64_t number, const hold_reply& reply) {
+    const auto runs_before = runs_.size();
+    const bool known_before = lists_known_;
+    runs_ = reply.runs;
+    ends_ = reply.ends;
+    std::erase_if(ends_, [&](const run_end& end) { return end.number <= ends_stored_; });
+    lists_known_ = true;
+    bool changed = !known_before || runs_.size() != runs_before;
+    for (auto each = starts_.begin(); each != starts_.end();) {
+        const auto& [key, one] = *each;
+        const bool decided = one.phase != start_phase::calling && one.decided_by_hold <= number;
+        if (!decided || listed(key)) {
+            ++each;
+            continue;
+        }
+        const auto gone = key;
+        each = starts_.erase(each);
+        changed = true;
+        if (!ended(gone)) {
+            refuse(gone, "the worker does not have it, and the token is past its start");
+        }
+    }
+    std::erase_if(stops_sent_, [&](const auto& one) { return !listed(one.first); });
+    const auto last_end = ends_.empty() ? 0 : ends_.back().number;
+    changed = changed || last_end > last_ends_reported_;
+    last_ends_reported_ = std::max(last_ends_reported_, last_end);
+    if (changed) {
+        report();
+    }
+}
+
+}  // namespace baobabrack::workload
--- /dev/null
+++ b/src/baobabrack/workload/worker_guard.hpp
@@ -0,0 +1,137 @@
+#ifndef BAOBABRACK_WORKLOAD_WORKER_GUARD_HPP
+#define BAOBABRACK_WORKLOAD_WORKER_GUARD_HPP
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "baobabrack/membership/peer_network.hpp"
+#include "baobabrack/metrics/registry.hpp"
+#include "baobabrack/runtime/runtime.hpp"
+#include "baobabrack/runtime/scoped_timer.hpp"
+#include "baobabrack/workload/worker_port.hpp"
+
+namespace baobabrack::workload {
+
+/// A worker's word about itself.
+struct worker_announcement {
+    worker_facts facts;
+    /// Grows with each announcement of one life.
+    std::uint64_t sequence = 0;
+    std::optional<worker_clock> clock;
+};
+
+/// The process beside a worker: its only caller, and the last gate before it. Follows the leader
+/// with the highest term, tells it everything about the worker, and carries out its orders as
+/// long as they are covered by a grant.
+class worker_guard {
+public:
+    struct options {
+        host_id host;
+        incarnation life;
+        std::string zmq_endpoint;
+        /// ZeroMQ endpoints of schedulers to look for the leader at.
+        std::vector<std::string> seeds;
+    };
+
+    worker_guard(options opts, runtime& loop, peer_network& network, worker_port& worker,
+                 metrics_registry& metrics);
+    worker_guard(const worker_guard&) = delete;
+    worker_guard& operator=(const worker_guard&) = delete;
+
+    void start();
+
+    /// @return whether the announcement was taken, or is older than what is known
+    bool announce(const worker_announcement& announcement);
+
+    /// The worker says that it ends.
+    void leave(const worker_id& worker);
+
+    /// Replaces the endpoints to look for the leader at.
+    void set_seeds(std::vector<std::string> seeds);
+
+private:
+    using run_key = std::pair<task_name, run_number>;
+    enum class start_phase {
+        calling,
+        /// The call was not answered; the next hold with a higher token tells.
+        unclear,
+        /// The worker has accepted it; a list may not show it yet.
+        accepted,
+    };
+    struct local_start {
+        wanted_run run;
+        start_phase phase = start_phase::calling;
+        /// Lists of holds sent before this one say nothing about the run.
+        std::uint64_t decided_by_hold = 0;
+    };
+    struct local_refusal {
+        std::string reason;
+        std::uint64_t first_report = 0;
+    };
+
+    void beat();
+    void report();
+    void send_report();
+    void take_message(const wire::PeerMessage& message);
+    void take_orders(const wire::WorkloadOrders& message);
+    void follow(const wire::WorkloadOrders& message);
+    void prune_refusals(std::uint64_t answered);
+    void order_start(const wanted_run& run);
+    void start_answered(const run_key& key, const worker_life& life, const call_reply& reply);
+    void order_stop(const unwanted_run& run);
+    void refuse(const run_key& key, const std::string& reason);
+    void hold_soon();
+    void hold();
+    void hold_answered(std::uint64_t number, const worker_life& life, const hold_reply& reply);
+    void take_lists(std::uint64_t number, const hold_reply& reply);
+    void raise_token(std::uint64_t by);
+    void take_clock(const std::optional<worker_clock>& clock);
+    std::optional<worker_clock> lease() const;
+    bool has_room(const resources& needs) const;
+    bool listed(const run_key& key) const;
+    bool ended(const run_key& key) const;
+    void forget_worker();
+
+    options options_;
+    runtime& loop_;
+    peer_network& network_;
+    worker_port& worker_;
+    metrics_registry& metrics_;
+
+    std::optional<worker_facts> facts_;
+    std::uint64_t announced_ = 0;
+    worker_clock clock_;
+    time_point clock_at_{};
+
+    std::string leader_endpoint_;
+    std::uint64_t term_ = 0;
+    std::uint64_t orders_seen_ = 0;
+    time_point orders_at_{};
+    time_point granted_until_{};
+    fencing_token token_;
+    std::uint64_t ends_stored_ = 0;
+
+    std::vector<run_report> runs_;
+    std::vector<run_end> ends_;
+    std::map<run_key, local_start> starts_;
+    std::map<run_key, local_refusal> refusals_;
+    std::map<run_key, time_point> stops_sent_;
+    bool lists_known_ = false;
+    std::uint64_t holds_sent_ = 0;
+    std::uint64_t hold_taken_ = 0;
+    bool hold_open_ = false;
+    std::uint64_t open_hold_ = 0;
+    std::uint64_t reports_sent_ = 0;
+    std::uint64_t last_ends_reported_ = 0;
+
+    scoped_timer beat_timer_;
+    scoped_timer report_timer_;
+    scoped_timer hold_timer_;
+};
+
+}  // namespace baobabrack::workload
+
+#endif
--- /dev/null
+++ b/src/baobabrack/workload/worker_table.cpp
@@ -0,0 +1,91 @@
+#include "baobabrack/workload/worker_table.hpp"
+
+#include <algorithm>
+
+#include "baobabrack/workload.pb.h"
+
+namespace baobabrack::workload {
+
+namespace {
+
+// A task can fail by its own fault, so one failing job says nothing about the worker.
+constexpr std::size_t jobs_until_suspect = 2;
+// Between two trials of a suspect worker.
+constexpr duration trial_interval = std::chrono::seconds{3};
+
+template <typename Amount>
+Amount less(const Amount& whole, const Amount& used) {
+    return whole > used ? Amount{whole.get() - used.get()} : Amount{0};
+}
+
+}  // namespace
+
+worker_facts from_wire(const host_id& host, const wire::WorkloadWorker& record) {
+    worker_facts facts{
+        .life = {.host = host,
+                 .worker = worker_id{record.id()},
+                 .life = incarnation{record.incarnation()}},
+        .service = service_id{record.service()},
+        .data_centre = data_centre_id{record.data_centre()},
+        .rack = rack_id{record.rack()},
+        .labels = {},
+        .capacity = {.cpu = cpu_millicores{record.cpu_millicores()},
+                     .memory = memory_mib{record.memory_mib()},
+                     .accelerators = accelerator_count{record.accelerators()}},
+        .draining = record.draining(),
+    };
+    for (const auto& text : record.labels()) {
+        facts.labels.emplace_back(text);
+    }
+    return facts;
+}
+
+wire::WorkloadWorker to_wire(const worker_facts& facts) {
+    wire::WorkloadWorker record;
+    record.set_id(facts.life.worker.get());
+    record.set_incarnation(facts.life.life.get());
+    record.set_service(facts.service.get());
+    record.set_data_centre(facts.data_centre.get());
+    record.set_rack(facts.rack.get());
+    for (const auto& one : facts.labels) {
+        record.add_labels(one.get());
+    }
+    record.set_cpu_millicores(facts.capacity.cpu.get());
+    record.set_memory_mib(facts.capacity.memory.get());
+    record.set_accelerators(facts.capacity.accelerators.get());
+    record.set_draining(facts.draining);
+    return record;
+}
+
+void run_record::succeeded(time_point /*now*/) {
+    failed_jobs_.clear();
+}
+
+void run_record::failed(const job_id& job, time_point now) {
+    last_failure_ = now;
+    if (std::find(failed_jobs_.begin(), failed_jobs_.end(), job) == failed_jobs_.end()) {
+        failed_jobs_.push_back(job);
+    }
+}
+
+bool run_record::suspect(time_point now) const {
+    return failed_jobs_.size() >= jobs_until_suspect && now < last_failure_ + trial_interval;
+}
+
+worker_state* worker_table::find(const host_id& host) {
+    const auto found = workers_.find(host);
+    return found == workers_.end() ? nullptr : &found->second;
+}
+
+const worker_state* worker_table::find(const host_id& host) const {
+    const auto found = workers_.find(host);
+    return found == workers_.end() ? nullptr : &found->second;
+}
+
+resources left_of(const resources& whole, const resources& used) {
+    return {.cpu = less(whole.cpu, used.cpu),
+            .memory = less(whole.memory, used.memory),
+            .accelerators = less(whole.accelerators, used.accelerators)};
+}
+
+}  // namespace baobabrack::workload
