Free room per host and rack for priority 0, and reserve hosts for wide groups

Change: victims are searched host by host, rack by rack; any job of priority 0 may stop work up to its own; a fast place is waited for when the run ends sooner so; groups that do not fit reserve the hosts that are expected to be free first, which runs that end before may still use.

--- a/src/baobabrack/workload/front_desk.cpp
+++ b/src/baobabrack/workload/front_desk.cpp
@@ -6,6 +6,43 @@
 
 namespace baobabrack::workload {
 
+namespace {
+
+std::int64_t to_ms(duration span) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+// What the job asks for, so that its wait can be explained later.
+void log_submission(const job_spec& spec) {
+    std::string shapes;
+    for (const auto& step : spec.steps) {
+        shapes += shapes.empty() ? "" : ", ";
+        shapes += std::to_string(step.tasks) + "x" +
+                  std::to_string(step.per_task.accelerators.get()) + "acc/" +
+                  std::to_string(step.per_task.cpu.get()) + "m/" +
+                  std::to_string(step.per_task.memory.get()) + "MiB/" +
+                  std::to_string(to_ms(step.estimated)) + "ms";
+        shapes += step.gang ? " gang" : "";
+        shapes += step.rack_local ? " rack_local" : "";
+        shapes += step.checkpoints ? " checkpoints" : "";
+        shapes += step.data_rack.get().empty() ? "" : " data:" + step.data_rack.get();
+        shapes += step.required.get().empty() ? "" : " label:" + step.required.get();
+        shapes += step.most_per_worker == 0 ? "" : " apart:" + std::to_string(step.most_per_worker);
+    }
+    log_event(log_level::info, "job-submitted")
+        .field("job", spec.id.get())
+        .field("queue", spec.queue.get())
+        .field("workspace", spec.workspace.get())
+        .field("priority", spec.priority)
+        .field("steps", shapes)
+        .field("occurrences", spec.occurrences)
+        .field("chain_ms", to_ms(longest_chain(spec)))
+        .field("target_ms", to_ms(spec.target_completion))
+        .field("slack", spec.slack_factor);
+}
+
+}  // namespace
+
 std::string_view to_string(desk_answer answer) {
     switch (answer) {
         case desk_answer::accepted:
@@ -93,6 +130,7 @@
         done(reply);
         return;
     }
+    log_submission(spec);
     const auto began = loop_.now();
     node_.submit(spec, time_for(deadline), [this, id, began, done = std::move(done)](auto receipt) {
         desk_reply reply;
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -10,7 +10,8 @@
 
 #include "baobabrack/workload/directory.hpp"
 #include "baobabrack/workload/job_book.hpp"
-#include "baobabrack/workload/placement.hpp"
+#include "baobabrack/workload/preemption.hpp"
+#include "baobabrack/workload/room_view.hpp"
 #include "baobabrack/workload/worker_table.hpp"
 
 namespace baobabrack::workload {
@@ -197,13 +198,6 @@
         /// Smaller comes first.
         double rank = 0;
     };
-    /// Runs that can only be stopped together.
-    struct victim {
-        std::vector<task_name> tasks;
-        std::map<host_id, resources> held;
-        /// Accelerator-seconds of work that would be thrown away.
-        double loss = 0;
-    };
 
     std::optional<task_ref> find(const task_name& task);
     void hold(const task_name& name, const task_ref& ref);
@@ -230,11 +224,16 @@
     candidates candidates_of(const service_id& service, time_point now, bool empty) const;
     std::vector<waiting_group> waiting_groups(const directory& config, wall_time wall_now);
     void add_waiting_groups(open_job& job, std::vector<waiting_group>& into);
-    void place_groups(std::vector<waiting_group>& groups, time_point now, wall_time wall_now);
+    void place_groups(std::vector<waiting_group>& groups, time_point now);
+    std::optional<std::vector<placed_task>> choose_places(const waiting_group& waiting,
+                                                          room_view& room, time_point now);
+    room_view view_room(const service_id& service, time_point now);
+    time_point expected_end(const task_ref& ref, time_point now) const;
     void mark_entitled(const directory& config, std::vector<waiting_group>& groups) const;
     void assign(const waiting_group& waiting, const std::vector<placed_task>& places,
                 time_point now);
-    bool make_room(const waiting_group& waiting, candidates& left, time_point now);
+    bool make_room(const waiting_group& waiting, room_view& room, time_point now,
+                   const placement_limits& limits);
     std::vector<victim> victims_below(std::uint32_t priority, const service_id& service,
                                       time_point now);
     void stop_victim(const victim& chosen);
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -16,27 +16,10 @@
 constexpr milliseconds due_margin{60};
 // Ended occurrences and jobs further past their objective than this factor are worth nothing.
 constexpr double worthless_factor = 3;
-// A job waits for a place near its data or for one rack at most this share of the time that the
-// slower place would cost it.
-constexpr double patience_share = 0.25;
-// The same for jobs of priority 0, as a share of the time in which they have to begin.
-constexpr double urgent_patience_share = 0.2;
+constexpr placement_limits fast_only{.remote = false, .spread = false};
 // Ranks of groups that come after those that can still be in time.
 constexpr double late_rank = 1e6;
 constexpr double worthless_rank = 2e6;
-// An accelerator weighs as much as this many processors when work is thrown away.
-constexpr double processors_per_accelerator = 8;
-constexpr double millicores_per_processor = 1000;
-
-double seconds(duration span) {
-    return std::chrono::duration<double>(span).count();
-}
-
-double weight(const resources& amount) {
-    return processors_per_accelerator * amount.accelerators.get() +
-           amount.cpu.get() / millicores_per_processor;
-}
-
 double remaining_work(const job_spec& spec, const job_progress& progress) {
     double work = 0;
     for (const auto& occurrence : progress.occurrences) {
@@ -45,7 +28,8 @@
             const auto left = std::count_if(
                 occurrence.steps[at].begin(), occurrence.steps[at].end(),
                 [](const task_progress& task) { return task.phase != task_phase::done; });
-            work += static_cast<double>(left) * weight(step.per_task) * seconds(step.estimated);
+            work += static_cast<double>(left) * work_per_second(step.per_task) *
+                    std::chrono::duration<double>(step.estimated).count();
         }
     }
     return work;
@@ -74,7 +58,7 @@
         return;
     }
     auto groups = waiting_groups(*config, wall_now);
-    place_groups(groups, now, wall_now);
+    place_groups(groups, now);
 }
 
 void scheduler::settle_jobs(time_point /*now*/, wall_time wall_now) {
@@ -292,45 +276,73 @@
     }
 }
 
-void scheduler::place_groups(std::vector<waiting_group>& groups, time_point now,
-                             wall_time /*wall_now*/) {
-    std::map<service_id, candidates> left;
+void scheduler::place_groups(std::vector<waiting_group>& groups, time_point now) {
+    std::map<service_id, room_view> rooms;
     // Tasks of one step that all failed to fit are not tried one by one.
     std::set<step_name> hopeless;
     // Tasks of one step count against each other's limit for one worker.
     std::map<step_name, std::map<host_id, std::uint32_t>> placed;
     for (auto& waiting : groups) {
-        const auto& spec = waiting.job->spec;
-        auto& step = waiting.group;
-        if (hopeless.contains(step.step)) {
+        auto& group = waiting.group;
+        if (hopeless.contains(group.step)) {
             continue;
         }
-        if (!left.contains(spec.service)) {
-            left[spec.service] = candidates_of(spec.service, now, false);
+        const auto& service = waiting.job->spec.service;
+        if (!rooms.contains(service)) {
+            rooms[service] = view_room(service, now);
         }
-        for (const auto& [host, count] : placed[step.step]) {
-            step.on_host[host] += count;
+        for (const auto& [host, count] : placed[group.step]) {
+            group.on_host[host] += count;
         }
-        const bool urgent = spec.priority == 0;
-        const auto cost = seconds(step.spec->estimated) * (options_.remote_penalty - 1);
-        const auto patience = urgent ? seconds(options_.reclaim_timeout) * urgent_patience_share
-                                     : cost * patience_share;
-        const bool impatient = seconds(now - waiting.job->since) > patience;
-        const placement_limits limits{.remote = impatient, .spread = impatient};
-        auto& from = left[spec.service];
-        if (const auto places = place(step, from, limits)) {
-            workload::take(from, step, *places);
-            for (const auto& one : *places) {
-                ++placed[step.step][one.host];
-            }
-            assign(waiting, *places, now);
+        auto& room = rooms[service];
+        const auto places = choose_places(waiting, room, now);
+        if (!places) {
+            hopeless.insert(group.step);
             continue;
         }
-        hopeless.insert(step.step);
-        if (waiting.entitled) {
-            make_room(waiting, from, now);
+        workload::take(room.left, group, *places);
+        for (const auto& one : *places) {
+            ++placed[group.step][one.host];
+        }
+        assign(waiting, *places, now);
+    }
+}
+
+// The fast place if there is one; otherwise whatever lets the group end soonest: to wait for a
+// fast place, to have one freed, or to take a slow place now.
+std::optional<std::vector<placed_task>> scheduler::choose_places(const waiting_group& waiting,
+                                                                 room_view& room, time_point now) {
+    const auto& group = waiting.group;
+    const auto usable = room.usable(now, group.spec->estimated);
+    if (auto fast = place(group, usable, fast_only)) {
+        return fast;
+    }
+    const bool urgent = waiting.job->spec.priority == 0;
+    const bool due = waiting.entitled && now - waiting.job->since > options_.reclaim_timeout / 2;
+    auto slow = place(group, usable, {});
+    if (slow && due) {
+        return slow;
+    }
+    if (urgent && make_room(waiting, room, now, fast_only)) {
+        return std::nullopt;
+    }
+    const auto wait = earliest(group, room, now, fast_only);
+    if (slow) {
+        const auto slow_end = now + std::chrono::duration_cast<duration>(group.spec->estimated *
+                                                                         options_.remote_penalty);
+        if (!wait || slow_end <= wait->at + group.spec->estimated) {
+            return slow;
         }
     }
+    if (urgent && !slow && make_room(waiting, room, now, {})) {
+        return std::nullopt;
+    }
+    if (wait) {
+        room.reserve(group, *wait);
+    } else if (const auto any = earliest(group, room, now, {})) {
+        room.reserve(group, *any);
+    }
+    return std::nullopt;
 }
 
 void scheduler::assign(const waiting_group& waiting, const std::vector<placed_task>& places,
@@ -367,109 +379,4 @@
     waiting.job->dirty = true;
 }
 
-// Frees room for a group that its workspace's guarantee entitles to it: stops the runs of lower
-// priority whose loss is least. What is freed, or already being freed, is kept for the group.
-bool scheduler::make_room(const waiting_group& waiting, candidates& left, time_point now) {
-    auto freed = left;
-    const auto give_back = [&](const host_id& host, const resources& amount) {
-        for (auto& one : freed) {
-            if (one.host == host) {
-                one.left.add(amount);
-            }
-        }
-    };
-    for (auto& [id, job] : jobs_) {
-        for_each_task(job, [&](const task_name&, const task_ref& ref) {
-            if (ref.task->phase == task_phase::assigned && ref.extra->stopping) {
-                give_back(ref.task->place.host, ref.step->per_task);
-            }
-        });
-    }
-    const auto reserve = [&](const std::vector<placed_task>& places) {
-        for (const auto& placed : places) {
-            for (auto& one : left) {
-                if (one.host == placed.host) {
-                    one.left = left_of(one.left, waiting.group.spec->per_task);
-                }
-            }
-        }
-    };
-    if (const auto soon = place(waiting.group, freed, {})) {
-        reserve(*soon);
-        return true;
-    }
-    const auto before = freed;
-    auto victims = victims_below(waiting.job->spec.priority, waiting.job->spec.service, now);
-    std::vector<victim> chosen;
-    std::optional<std::vector<placed_task>> places;
-    for (auto& one : victims) {
-        for (const auto& [host, amount] : one.held) {
-            give_back(host, amount);
-        }
-        chosen.push_back(std::move(one));
-        places = place(waiting.group, freed, {.remote = true, .spread = false});
-        if (places) {
-            break;
-        }
-    }
-    if (!places) {
-        places = place(waiting.group, freed, {});
-    }
-    if (!places) {
-        return false;
-    }
-    // Victims on hosts that the group does not need are spared.
-    for (const auto& one : chosen) {
-        const bool needed = std::any_of(places->begin(), places->end(), [&](const auto& placed) {
-            return one.held.contains(placed.host);
-        });
-        if (needed) {
-            stop_victim(one);
-        }
-    }
-    reserve(*places);
-    return true;
-}
-
-std::vector<scheduler::victim> scheduler::victims_below(std::uint32_t priority,
-                                                        const service_id& service, time_point now) {
-    std::vector<victim> victims;
-    for (auto& [id, job] : jobs_) {
-        if (job.spec.priority <= priority || job.spec.service != service) {
-            continue;
-        }
-        std::map<step_name, victim> gangs;
-        for_each_task(job, [&](const task_name& name, const task_ref& ref) {
-            if (ref.task->phase != task_phase::assigned || ref.extra->stopping) {
-                return;
-            }
-            victim single;
-            auto& into = ref.step->gang ? gangs[name.step] : single;
-            into.tasks.push_back(name);
-            into.held[ref.task->place.host].add(ref.step->per_task);
-            // A checkpoint keeps nearly all of the work.
-            const auto lost = ref.step->checkpoints ? 0.5 : seconds(now - ref.extra->assigned);
-            into.loss += lost * weight(ref.step->per_task);
-            if (!ref.step->gang) {
-                victims.push_back(std::move(single));
-            }
-        });
-        for (auto& [step, gang] : gangs) {
-            victims.push_back(std::move(gang));
-        }
-    }
-    std::sort(victims.begin(), victims.end(),
-              [](const victim& left, const victim& right) { return left.loss < right.loss; });
-    return victims;
-}
-
-void scheduler::stop_victim(const victim& chosen) {
-    for (const auto& name : chosen.tasks) {
-        if (const auto ref = find(name)) {
-            ++counts_.preempted;
-            stop(name, *ref, "makes room for a workspace's guarantee");
-        }
-    }
-}
-
 }  // namespace baobabrack::workload
