Take over within a second, store by way of a peer, let a silent worker's lease lapse

Change: schedulers ping each other and say whether the store answers them; the lead is claimed a second after the last record of a leader that is silent or refused; redirects carry the term, and the new leader sends one to every guard; a leader without a lease to give counts as silent; a refused submission goes by way of a scheduler that the store answers; a guard whose worker is silent lets the lease lapse, says until when it lasts, and extends it again only with the leader's leave; progress is judged by fresh lists only; connections to hosts that were down are retried within 0.9 s.

--- a/src/baobabrack/daemon/scheduler_program.cpp
+++ b/src/baobabrack/daemon/scheduler_program.cpp
@@ -48,6 +48,18 @@
             .max_connections = most_connections};
 }
 
+std::vector<std::string> seed_endpoints(const wire::SchedulerSettings& settings) {
+    const auto colon = settings.zmq_endpoint().rfind(':');
+    std::vector<std::string> endpoints;
+    for (const auto& seed : settings.seeds()) {
+        if (const auto endpoint = parse_endpoint(seed)) {
+            endpoints.push_back("tcp://" + endpoint.value().host +
+                                settings.zmq_endpoint().substr(colon));
+        }
+    }
+    return endpoints;
+}
+
 workload::scheduler::options decision_options(const wire::WorkloadBounds& bounds) {
     return {.lease = from_ms(bounds.most_lease_ms() * lease_share),
             .lease_slack = from_ms(bounds.thaw_slack_ms() + bounds.stop_timeout_ms()),
@@ -62,7 +74,8 @@
             .zmq_endpoint = settings.scheduler().zmq_endpoint(),
             .decisions = decision_options(bounds),
             .config_limit = from_ms(bounds.config_apply_ms()),
-            .answer_limit = from_ms(bounds.visible_ms() * revocation_share)};
+            .answer_limit = from_ms(bounds.visible_ms() * revocation_share),
+            .seeds = seed_endpoints(settings.scheduler())};
 }
 
 /// Answers every call with 503: workers announce themselves to the guard on their host.
--- a/src/baobabrack/daemon/worker_guard_program.cpp
+++ b/src/baobabrack/daemon/worker_guard_program.cpp
@@ -57,7 +57,9 @@
           guard_({.host = workload::host_id{settings.id()},
                   .life = new_incarnation(),
                   .zmq_endpoint = settings_.zmq_endpoint(),
-                  .seeds = seed_endpoints(settings_)},
+                  .seeds = seed_endpoints(settings_),
+                  .most_lease = std::chrono::milliseconds{static_cast<std::int64_t>(
+                      settings_.bounds().most_lease_ms())}},
                  loop_, network_, worker_, metrics_),
           announcements_(guard_, workload::host_id{settings.id()}),
           metrics_page_(metrics_),
--- a/src/baobabrack/keyed/topic_follower.hpp
+++ b/src/baobabrack/keyed/topic_follower.hpp
@@ -19,9 +19,9 @@
     struct options {
         topic_id topic;
         /// How long one poll waits for a record; also how old `confirmed` gets when all is well.
-        duration poll_wait = std::chrono::milliseconds{2000};
+        duration poll_wait = std::chrono::milliseconds{800};
         /// Time for an answer beyond the wait; after it the connection is replaced.
-        duration answer_timeout = std::chrono::milliseconds{1000};
+        duration answer_timeout = std::chrono::milliseconds{800};
         duration retry_delay = std::chrono::milliseconds{100};
         /// Longest delay between two tries while the store does not answer.
         duration most_retry_delay = std::chrono::milliseconds{500};
--- a/src/baobabrack/transport/zmq_network.cpp
+++ b/src/baobabrack/transport/zmq_network.cpp
@@ -13,10 +13,12 @@
 namespace {
 
 constexpr int reconnect_ms = 100;
-constexpr int max_reconnect_ms = 2000;
+constexpr int max_reconnect_ms = 400;
+// A host that is down does not refuse a connection, and one that comes back must be found soon.
+constexpr int connect_timeout_ms = 500;
 // A connection that is silent for the timeout is replaced.
-constexpr int heartbeat_interval_ms = 1000;
-constexpr int heartbeat_timeout_ms = 3000;
+constexpr int heartbeat_interval_ms = 500;
+constexpr int heartbeat_timeout_ms = 1500;
 // Messages of one loop turn, so that other sockets get their share.
 constexpr int receive_burst = 256;
 
@@ -95,6 +97,8 @@
     zmq_setsockopt(socket.get(), ZMQ_ROUTING_ID, options_.id.data(), options_.id.size());
     // What cannot be sent now is dropped: it would be stale when the peer is back.
     set(socket, ZMQ_IMMEDIATE, 1);
+    set(socket, ZMQ_CONNECT_TIMEOUT, connect_timeout_ms);
+    set(socket, ZMQ_TCP_MAXRT, heartbeat_timeout_ms);
     set(socket, ZMQ_RECONNECT_IVL, reconnect_ms);
     set(socket, ZMQ_RECONNECT_IVL_MAX, max_reconnect_ms);
     if (zmq_connect(socket.get(), endpoint.c_str()) != 0) {
--- a/src/baobabrack/workload/front_desk.cpp
+++ b/src/baobabrack/workload/front_desk.cpp
@@ -74,12 +74,15 @@
 }
 
 bool front_desk::ready() const {
-    return config_.current() != nullptr && config_known() && node_.fresh();
+    const bool others_serve = node_.peers().find_with_store().has_value();
+    const bool serves = node_.store_answers() || !others_serve;
+    return config_.current() != nullptr && config_known() && node_.fresh() && serves;
 }
 
 front_desk::route front_desk::find_route(const caller_address& from) {
-    const auto refuse = [](desk_answer answer, std::string reason) {
-        return route{.refusal = {.answer = answer, .reason = std::move(reason)}};
+    const auto refuse = [this](desk_answer answer, std::string reason) {
+        return route{
+            .refusal = {.answer = answer, .reason = std::move(reason), .retry_after = come_back()}};
     };
     const auto* config = config_.current();
     if (config == nullptr) {
@@ -103,6 +106,11 @@
     return found;
 }
 
+// Another scheduler can be asked at once if the store answers it.
+std::chrono::seconds front_desk::come_back() const {
+    return std::chrono::seconds{node_.peers().find_with_store() ? 0 : 1};
+}
+
 duration front_desk::time_for(duration deadline) const {
     const auto whole = deadline > duration::zero() ? deadline : options_.default_deadline;
     return std::max(whole - options_.deadline_margin, whole / 2);
@@ -134,9 +142,10 @@
     const auto began = loop_.now();
     node_.submit(spec, time_for(deadline), [this, id, began, done = std::move(done)](auto receipt) {
         desk_reply reply;
-        if (receipt == scheduler_node::receipt::not_stored) {
+        if (receipt == intake_writer::receipt::not_stored) {
             reply = {.answer = desk_answer::not_now, .reason = "the store cannot be reached"};
-        } else if (receipt == scheduler_node::receipt::unknown) {
+            reply.retry_after = come_back();
+        } else if (receipt == intake_writer::receipt::unknown) {
             reply = {.answer = desk_answer::unclear, .reason = "the store has not confirmed"};
         } else {
             metrics_
@@ -165,9 +174,9 @@
     }
     node_.cancel(id, time_for(deadline), [this, id, done = std::move(done)](auto receipt) {
         desk_reply reply;
-        if (receipt != scheduler_node::receipt::stored) {
-            reply = {.answer = receipt == scheduler_node::receipt::unknown ? desk_answer::unclear
-                                                                           : desk_answer::not_now,
+        if (receipt != intake_writer::receipt::stored) {
+            reply = {.answer = receipt == intake_writer::receipt::unknown ? desk_answer::unclear
+                                                                          : desk_answer::not_now,
                      .reason = "the store has not confirmed"};
         }
         answered("cancel", id, reply);
@@ -182,7 +191,9 @@
     } else if (node_.fresh()) {
         reply = {.answer = desk_answer::unknown_job, .reason = "no such job"};
     } else {
-        reply = {.answer = desk_answer::not_now, .reason = "the stored jobs may be newer"};
+        reply = {.answer = desk_answer::not_now,
+                 .reason = "the stored jobs may be newer",
+                 .retry_after = come_back()};
     }
     if (reply.answer != desk_answer::accepted) {
         answered("state", id, reply);
--- a/src/baobabrack/workload/front_desk.hpp
+++ b/src/baobabrack/workload/front_desk.hpp
@@ -85,6 +85,7 @@
 
 private:
     bool config_known() const;
+    std::chrono::seconds come_back() const;
     duration time_for(duration deadline) const;
     void answered(const std::string& call, const job_id& id, const desk_reply& reply);
 
--- a/src/baobabrack/workload/report_codec.cpp
+++ b/src/baobabrack/workload/report_codec.cpp
@@ -1,11 +1,18 @@
 #include "baobabrack/workload/report_codec.hpp"
 
+#include <algorithm>
+
 #include "baobabrack/workload.pb.h"
 
 namespace baobabrack::workload {
 
 namespace {
 
+std::uint64_t to_ms(duration span) {
+    const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(whole, 0));
+}
+
 end_kind from_wire(wire::WorkloadEnd::How how) {
     switch (how) {
         case wire::WorkloadEnd::DONE:
@@ -50,6 +57,9 @@
 worker_report from_wire(const wire::WorkloadReport& message) {
     worker_report report{.facts = from_wire(host_id{message.host()}, message.worker()),
                          .lists_known = message.lists_known(),
+                         .lease_suspended = message.lease_suspended(),
+                         .lease_left = std::chrono::milliseconds{message.lease_left_ms()},
+                         .lists_age = std::chrono::milliseconds{message.lists_age_ms()},
                          .runs = {},
                          .ends = {},
                          .refusals = {}};
@@ -78,6 +88,9 @@
     *message.mutable_worker() = to_wire(report.facts);
     message.set_host(report.facts.life.host.get());
     message.set_lists_known(report.lists_known);
+    message.set_lease_suspended(report.lease_suspended);
+    message.set_lease_left_ms(to_ms(report.lease_left));
+    message.set_lists_age_ms(to_ms(report.lists_age));
     for (const auto& run : report.runs) {
         auto& into = *message.add_runs();
         *into.mutable_task() = to_wire(run.task);
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -50,6 +50,13 @@
     worker_facts facts;
     /// Whether the lists are the worker's own; a guard that has just started has none yet.
     bool lists_known = false;
+    /// The worker does not answer; its lease is not extended until a report without this has been
+    /// answered.
+    bool lease_suspended = false;
+    /// The longest lease that the worker has, from when the report was sent.
+    duration lease_left{};
+    /// Since the lists were taken.
+    duration lists_age{};
     std::vector<run_report> runs;
     std::vector<run_end> ends;
     std::vector<refused_run> refusals;
@@ -238,6 +245,7 @@
                                       time_point now);
     void stop_victim(const victim& chosen);
     void expire_silent(time_point now);
+    duration lapse_bound(duration lease) const;
     void add_note(std::string event, const task_name& task, run_number run, const host_id& host,
                   std::string detail = {});
 
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -176,7 +176,7 @@
     candidates found;
     for (const auto& [host, worker] : workers_.all()) {
         const bool usable = worker.facts.service == service && !worker.facts.draining &&
-                            !worker.gone && !worker.has_strays &&
+                            !worker.gone && worker.answers && !worker.has_strays &&
                             now <= worker.heard + options_.silence_limit &&
                             !worker.record.suspect(now);
         if (usable) {
--- a/src/baobabrack/workload/scheduler_node.cpp
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -18,18 +18,17 @@
 
 constexpr duration tick_interval = 100ms;
 // A leader stores something this often, which proves that it still leads.
-constexpr duration proof_interval = 800ms;
+constexpr duration proof_interval = 700ms;
 // A leader extends leases only this long after the last proof; a new one counts on it.
 constexpr duration proof_limit = 2000ms;
-// Followers take over from a leader that has stored nothing for this long: twice its interval.
-constexpr duration leader_silence = 1600ms;
-constexpr duration progress_poll_wait = 1200ms;
+// Followers take over from a leader that has stored nothing for longer than its interval and the
+// time of an answer, and has missed several pings.
+constexpr duration leader_silence = 1000ms;
+// An append that is unanswered for this long, many times the usual, counts as refused.
+constexpr duration slow_append = 600ms;
 // A scheduler far from the store decides slowly, so it waits longer before it claims the lead.
-constexpr int claim_delay_per_answer_time = 20;
-constexpr duration most_claim_delay = 800ms;
-// One try of an append; an answer takes some tens of milliseconds.
-constexpr duration append_try = 900ms;
-constexpr duration append_retry_delay = 60ms;
+constexpr int claim_delay_per_answer_time = 6;
+constexpr duration most_claim_delay = 600ms;
 // Fencing tokens: the term, then the guard's session under it, then the guard's own count.
 constexpr unsigned term_shift = 24;
 constexpr unsigned session_shift = 12;
@@ -40,23 +39,17 @@
 
 }  // namespace
 
-/// One append of a submission or a cancel with its tries.
-struct scheduler_node::pending_append {
-    keyed_record record;
-    time_point deadline;
-    receipt_handler done;
-    /// Whether an earlier try may still take effect.
-    bool perhaps_stored = false;
-    unsigned tries = 0;
-};
-
 scheduler_node::scheduler_node(options opts, environment around)
     : options_(std::move(opts)),
       around_(around),
       intake_(around.loop, around.log, {.topic = intake_topic}),
-      progress_(around.loop, around.log,
-                {.topic = progress_topic, .poll_wait = progress_poll_wait}),
+      progress_(around.loop, around.log, {.topic = progress_topic}),
       writer_(around.loop, around.log, {.topic = progress_topic}),
+      pings_({.id = options_.id, .zmq_endpoint = options_.zmq_endpoint, .seeds = options_.seeds},
+             around.loop, around.network),
+      intake_writer_({.topic = intake_topic, .zmq_endpoint = options_.zmq_endpoint}, around.loop,
+                     around.log, around.network, pings_,
+                     [this](const keyed_entry& entry) { take_intake(entry); }),
       tick_timer_(around.loop),
       decide_timer_(around.loop) {
 }
@@ -79,6 +72,10 @@
                         consider_claim();
                     });
     tick();
+    pings_.start([this] {
+        return peer_pings::state{.term = leading() ? term_.get() : 0,
+                                 .store_answers = store_answers()};
+    });
 }
 
 void scheduler_node::tick() {
@@ -124,6 +121,7 @@
     }
     leader_ = record.scheduler();
     leader_endpoint_ = record.zmq_endpoint();
+    leader_term_ = record.term() > 0 ? record.term() : entry.offset.get() + 1;
     leader_offset_ = entry.offset;
     leader_resigned_ = record.resigned();
     leader_seen_ = around_.loop.now();
@@ -135,9 +133,11 @@
     }
     const auto now = around_.loop.now();
     const bool none = leader_.empty() || leader_resigned_ || leader_ == options_.id;
-    const auto silence = none ? claim_delay_ : leader_silence + claim_delay_;
-    const bool reads = progress_.confirmed() && now - *progress_.confirmed() < leader_silence;
-    if (reads && now - leader_seen_ >= silence) {
+    const bool unable = pings_.store_lost(leader_endpoint_);
+    const bool silent = !pings_.alive(leader_endpoint_);
+    const auto silence = none || unable ? claim_delay_ : leader_silence + claim_delay_;
+    const bool gone = none || unable || silent;
+    if (gone && progress_.failures() == 0 && now - leader_seen_ >= silence) {
         claim();
     }
 }
@@ -189,9 +189,20 @@
     log_event(log_level::info, "lead-taken")
         .field("term", term_.get())
         .field("open_jobs", static_cast<std::uint64_t>(scheduler_->open_jobs()));
+    for (const auto& guard : guards_) {
+        send_redirect(guard);
+    }
+    pings_.ping();
     decide();
 }
 
+bool scheduler_node::store_answers() const {
+    if (!leading()) {
+        return progress_.caught_up() && progress_.failures() == 0;
+    }
+    return around_.loop.now() - writer_.proved() < proof_interval + slow_append;
+}
+
 void scheduler_node::step_down(const std::string& why) {
     log_event(log_level::warning, "lead-lost").field("term", term_.get()).field("reason", why);
     scheduler_.reset();
@@ -280,11 +291,18 @@
 void scheduler_node::take_message(const std::string& /*sender*/, const wire::PeerMessage& message) {
     if (message.kind_case() == wire::PeerMessage::kWorkloadReport) {
         take_report(message.workload_report());
+    } else if (message.kind_case() == wire::PeerMessage::kWorkloadPing) {
+        pings_.take(message.workload_ping());
+    } else if (message.kind_case() == wire::PeerMessage::kWorkloadIntake) {
+        intake_writer_.take(message.workload_intake());
+    } else if (message.kind_case() == wire::PeerMessage::kWorkloadIntakeReply) {
+        intake_writer_.take(message.workload_intake_reply());
     }
 }
 
 void scheduler_node::take_report(const wire::WorkloadReport& message) {
     around_.network.connect(message.host(), message.zmq_endpoint());
+    guards_.insert(message.host());
     if (!leading()) {
         redirect(message);
         return;
@@ -319,13 +337,18 @@
 }
 
 void scheduler_node::redirect(const wire::WorkloadReport& message) {
-    if (leader_.empty() || leader_ == options_.id || leader_resigned_) {
-        return;
+    if (!leader_.empty() && leader_ != options_.id && !leader_resigned_) {
+        send_redirect(message.host());
     }
+}
+
+void scheduler_node::send_redirect(const std::string& guard) {
     wire::PeerMessage out;
-    out.mutable_workload_redirect()->set_leader(leader_);
-    out.mutable_workload_redirect()->set_zmq_endpoint(leader_endpoint_);
-    around_.network.send(message.host(), out);
+    auto& redirect = *out.mutable_workload_redirect();
+    redirect.set_leader(leader_);
+    redirect.set_zmq_endpoint(leader_endpoint_);
+    redirect.set_term(leading() ? term_.get() : leader_term_);
+    around_.network.send(guard, out);
 }
 
 void scheduler_node::send_orders(const host_id& host) {
@@ -407,67 +430,21 @@
         .set(static_cast<double>(scheduler_->open_jobs()));
 }
 
-void scheduler_node::submit(const job_spec& spec, duration deadline, receipt_handler done) {
-    append_intake({.key = std::string{submission_prefix} + spec.id.get(),
-                   .value = to_wire(spec).SerializeAsString()},
-                  deadline, std::move(done));
+void scheduler_node::submit(const job_spec& spec, duration deadline,
+                            intake_writer::receipt_handler done) {
+    intake_writer_.write({.key = std::string{submission_prefix} + spec.id.get(),
+                          .value = to_wire(spec).SerializeAsString()},
+                         deadline, std::move(done));
 }
 
-void scheduler_node::cancel(const job_id& id, duration deadline, receipt_handler done) {
+void scheduler_node::cancel(const job_id& id, duration deadline,
+                            intake_writer::receipt_handler done) {
     wire::WorkloadCancel record;
     record.set_cancelled_unix_ms(
         static_cast<std::uint64_t>(around_.loop.wall_now().time_since_epoch().count()));
-    append_intake(
+    intake_writer_.write(
         {.key = std::string{cancel_prefix} + id.get(), .value = record.SerializeAsString()},
         deadline, std::move(done));
 }
 
-void scheduler_node::append_intake(keyed_record record, duration deadline, receipt_handler done) {
-    auto append = std::make_shared<pending_append>();
-    append->record = std::move(record);
-    append->deadline = around_.loop.now() + deadline;
-    append->done = std::move(done);
-    try_append(append);
-}
-
-void scheduler_node::try_append(const std::shared_ptr<pending_append>& append) {
-    const auto left = append->deadline - around_.loop.now();
-    if (left <= duration::zero()) {
-        append->done(append->perhaps_stored ? receipt::unknown : receipt::not_stored);
-        return;
-    }
-    ++append->tries;
-    around_.log.append(
-        {.topic = intake_topic,
-         .records = {append->record},
-         .expected_end = std::nullopt,
-         .timeout = std::min(left, append_try)},
-        [this, append, alive = std::weak_ptr<bool>(alive_)](const result<append_reply>& reply) {
-            if (!alive.expired()) {
-                append_answered(append, reply);
-            }
-        });
-}
-
-// A repetition does no harm: the first record of a job stands.
-void scheduler_node::append_answered(const std::shared_ptr<pending_append>& append,
-                                     const result<append_reply>& reply) {
-    if (reply) {
-        take_intake({.offset = reply.value().first, .record = append->record});
-        append->done(receipt::stored);
-        return;
-    }
-    append->perhaps_stored =
-        append->perhaps_stored || reply.error().kind == failure_kind::timed_out;
-    log_event(log_level::warning, "append-failed")
-        .field("key", append->record.key)
-        .field("try", append->tries)
-        .field("reason", to_string(reply.error().kind));
-    around_.loop.schedule(append_retry_delay, [this, append, alive = std::weak_ptr<bool>(alive_)] {
-        if (!alive.expired()) {
-            try_append(append);
-        }
-    });
-}
-
 }  // namespace baobabrack::workload
--- a/src/baobabrack/workload/scheduler_node.hpp
+++ b/src/baobabrack/workload/scheduler_node.hpp
@@ -11,6 +11,8 @@
 #include "baobabrack/membership/peer_network.hpp"
 #include "baobabrack/metrics/registry.hpp"
 #include "baobabrack/workload/directory_source.hpp"
+#include "baobabrack/workload/intake_writer.hpp"
+#include "baobabrack/workload/peer_pings.hpp"
 #include "baobabrack/workload/scheduler.hpp"
 
 namespace baobabrack::workload {
@@ -29,6 +31,8 @@
         duration config_limit = std::chrono::milliseconds{2500};
         /// Answers about jobs need knowledge that is at most this old.
         duration answer_limit = std::chrono::milliseconds{2000};
+        /// ZeroMQ endpoints of schedulers to begin with.
+        std::vector<std::string> seeds;
     };
 
     /// What a job needs to be told about; all are owned by the caller.
@@ -40,16 +44,6 @@
         metrics_registry& metrics;
     };
 
-    /// What became of a submission or a cancel.
-    enum class receipt {
-        stored,
-        /// Nothing was stored and nothing will be.
-        not_stored,
-        /// It may have been stored, or may be later.
-        unknown,
-    };
-    using receipt_handler = std::function<void(receipt)>;
-
     scheduler_node(options opts, environment around);
     scheduler_node(const scheduler_node&) = delete;
     scheduler_node& operator=(const scheduler_node&) = delete;
@@ -58,10 +52,10 @@
     void start();
 
     /// Stores a job; the handler runs once, at the latest when the deadline has passed.
-    void submit(const job_spec& spec, duration deadline, receipt_handler done);
+    void submit(const job_spec& spec, duration deadline, intake_writer::receipt_handler done);
 
     /// Stores that a job is to be cancelled.
-    void cancel(const job_id& id, duration deadline, receipt_handler done);
+    void cancel(const job_id& id, duration deadline, intake_writer::receipt_handler done);
 
     /// @return the jobs that are stored
     const job_book& book() const { return book_; }
@@ -71,6 +65,15 @@
 
     bool leading() const { return scheduler_ != nullptr; }
 
+    /// @return the other schedulers
+    const peer_pings& peers() const { return pings_; }
+
+    /// @return whether the store answers
+    bool store_answers() const;
+
+    /// Replaces the endpoints of schedulers to begin with.
+    void set_seeds(std::vector<std::string> seeds) { pings_.set_seeds(std::move(seeds)); }
+
     /// Hands over, if this scheduler leads, and takes the lead no more.
     void resign();
 
@@ -83,8 +86,6 @@
         std::uint64_t report_sent_at_us = 0;
         worker_report report;
     };
-    struct pending_append;
-
     void tick();
     void take_intake(const keyed_entry& entry);
     void take_progress(const keyed_entry& entry);
@@ -102,26 +103,26 @@
     void take_message(const std::string& sender, const wire::PeerMessage& message);
     void take_report(const wire::WorkloadReport& message);
     void redirect(const wire::WorkloadReport& message);
+    void send_redirect(const std::string& guard);
     void send_orders(const host_id& host);
     bool proved_recently() const;
     const directory* usable_config() const;
     void log_notes();
     void update_metrics();
-    void append_intake(keyed_record record, duration deadline, receipt_handler done);
-    void try_append(const std::shared_ptr<pending_append>& append);
-    void append_answered(const std::shared_ptr<pending_append>& append,
-                         const result<append_reply>& reply);
-
     options options_;
     environment around_;
     job_book book_;
     topic_follower intake_;
     topic_follower progress_;
     conditional_writer writer_;
+    peer_pings pings_;
+    intake_writer intake_writer_;
     std::unique_ptr<scheduler> scheduler_;
     std::map<host_id, guard_session> sessions_;
     // Guards whose reports have not been answered.
     std::set<host_id> answers_due_;
+    // Every guard that was heard, also under another leader.
+    std::set<std::string> guards_;
     std::uint64_t sessions_opened_ = 0;
     std::uint64_t batches_ = 0;
     log_offset term_;
@@ -130,11 +131,12 @@
     std::string leader_;
     std::string leader_endpoint_;
     log_offset leader_offset_;
+    std::uint64_t leader_term_ = 0;
     bool leader_resigned_ = false;
+    // When the leader last stored something.
     time_point leader_seen_{};
     duration claim_delay_{};
     time_point lead_since_{};
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     scoped_timer tick_timer_;
     scoped_timer decide_timer_;
 };
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -12,6 +12,8 @@
 constexpr duration stall_base = std::chrono::milliseconds{2500};
 constexpr double stall_share = 0.12;
 constexpr std::uint32_t whole_percent = 100;
+// Older lists say nothing about progress.
+constexpr duration fresh_lists = std::chrono::milliseconds{1200};
 
 }  // namespace
 
@@ -27,12 +29,16 @@
     }
     worker.facts = report.facts;
     worker.heard = now;
-    worker.lapsed_after = std::max(
-        worker.lapsed_after, now + options_.lease + options_.lease / 25 + options_.lease_slack);
+    worker.answers = report.lists_known && !report.lease_suspended;
+    if (report.lease_suspended) {
+        worker.lapsed_after = now + lapse_bound(report.lease_left);
+    } else {
+        worker.lapsed_after = std::max(worker.lapsed_after, now + lapse_bound(options_.lease));
+    }
     if (!report.lists_known) {
         return;
     }
-    worker.gone = false;
+    worker.gone = worker.gone && report.lease_suspended;
     for (const auto& end : report.ends) {
         auto& taken = ends_taken_[life];
         if (end.number > taken) {
@@ -90,6 +96,11 @@
     end_run(refusal.task, *ref, "");
 }
 
+// The worker's clock may be slow by a fiftieth, and so may its guard's.
+duration scheduler::lapse_bound(duration lease) const {
+    return lease + lease / 25 + options_.lease_slack;
+}
+
 // Takes checkpoints and progress from the runs that are listed.
 void scheduler::apply_runs(const worker_report& report, time_point now) {
     auto& worker = workers_.at(report.facts.life.host);
@@ -106,7 +117,11 @@
         if (!run.checkpoint.empty() && ref->step->checkpoints) {
             ref->task->checkpoint = run.checkpoint;
         }
-        watch_progress(run.task, run, *ref, now);
+        if (worker.answers && report.lists_age < fresh_lists) {
+            watch_progress(run.task, run, *ref, now);
+        } else {
+            ref->extra->percent_since = now;
+        }
     }
 }
 
@@ -146,7 +161,7 @@
 // A worker whose lease has lapsed for certain runs nothing any more.
 void scheduler::expire_silent(time_point now) {
     for (auto& [host, worker] : workers_.all()) {
-        const bool silent = now > worker.heard + options_.silence_limit;
+        const bool silent = !worker.answers || now > worker.heard + options_.silence_limit;
         if (!worker.gone && silent && now > worker.lapsed_after) {
             worker.gone = true;
             worker.used = {};
--- a/src/baobabrack/workload/worker_guard.cpp
+++ b/src/baobabrack/workload/worker_guard.cpp
@@ -16,14 +16,20 @@
 constexpr duration beat_interval = 500ms;
 // Without orders for this long the leader is looked for at every seed.
 constexpr duration leader_silence = 1200ms;
-constexpr duration hold_wait = 1000ms;
-constexpr duration call_timeout = 700ms;
+constexpr duration hold_wait = 500ms;
+constexpr duration call_timeout = 500ms;
+// A worker that has not answered a hold for this long is taken not to answer.
+constexpr duration worker_silence = 1200ms;
 constexpr duration hold_retry = 200ms;
 constexpr duration stop_retry = 400ms;
 // Steps of the token: past an unanswered call, and past a token that someone else used.
 constexpr std::uint64_t next_token = 1;
 constexpr std::uint64_t token_jump = 1U << 13U;
 
+std::int64_t to_ms(duration span) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 }  // namespace
 
 std::string_view to_string(call_end end) {
@@ -88,7 +94,11 @@
         return false;
     }
     if (!known) {
+        const bool first = !facts_;
         forget_worker();
+        lists_at_ = loop_.now();
+        // An earlier guard may have extended the lease of the worker that this one finds.
+        lease_given_ = first ? loop_.now() + options_.most_lease : time_point{};
         log_event(log_level::info, "worker-announced")
             .field("worker", life.worker.get())
             .field("incarnation", life.life.get());
@@ -129,6 +139,9 @@
     ends_stored_ = 0;
     last_ends_reported_ = 0;
     clock_at_ = {};
+    lease_given_ = {};
+    suspended_ = false;
+    resumed_by_report_ = 0;
     hold_taken_ = holds_sent_;
     hold_open_ = false;
 }
@@ -145,7 +158,11 @@
     lists.facts.life.host = options_.host;
     if (facts_) {
         lists.facts = *facts_;
+        watch_worker();
         lists.lists_known = lists_known_;
+        lists.lease_suspended = suspended_;
+        lists.lease_left = std::max(duration::zero(), lease_given_ - loop_.now());
+        lists.lists_age = loop_.now() - lists_at_;
         lists.runs = runs_;
         for (const auto& [key, one] : starts_) {
             if (!listed(key) && !ended(key)) {
@@ -187,7 +204,8 @@
     } else if (message.kind_case() == wire::PeerMessage::kWorkloadRedirect) {
         const auto& endpoint = message.workload_redirect().zmq_endpoint();
         const bool silent = loop_.now() - orders_at_ > leader_silence;
-        if (endpoint != leader_endpoint_ && (silent || leader_endpoint_.empty())) {
+        const bool newer = message.workload_redirect().term() > term_;
+        if (endpoint != leader_endpoint_ && (newer || silent || leader_endpoint_.empty())) {
             leader_endpoint_ = endpoint;
             report();
         }
@@ -205,14 +223,20 @@
         return;
     }
     orders_seen_ = message.sequence();
-    orders_at_ = loop_.now();
     leader_endpoint_ = message.zmq_endpoint();
+    // A leader that may not extend leases has lost the store, and another one may lead by now.
+    if (message.lease_ms() > 0) {
+        orders_at_ = loop_.now();
+    }
     const time_point sent{duration{static_cast<std::int64_t>(message.report_sent_at_us())}};
     const auto lease = std::chrono::milliseconds{static_cast<std::int64_t>(message.lease_ms())};
     if (message.lease_ms() > 0) {
         granted_until_ = std::max(granted_until_, sent + lease);
     }
     prune_refusals(message.report_sequence());
+    if (resumed_by_report_ > 0 && message.report_sequence() >= resumed_by_report_) {
+        resumed_by_report_ = 0;
+    }
     const auto orders = from_wire(options_.host, message);
     if (!facts_ || orders.worker != facts_->life) {
         return;
@@ -392,11 +416,27 @@
     }
 }
 
-std::optional<worker_clock> worker_guard::lease() const {
+// Marks the worker as silent. From then on its lease is left to lapse, so that the leader can
+// count on the moment at which its runs are gone.
+void worker_guard::watch_worker() {
+    const bool silent = loop_.now() - lists_at_ > worker_silence;
+    if (silent && !suspended_) {
+        log_event(log_level::warning, "worker-lost")
+            .field("worker", facts_->life.worker.get())
+            .field("lists_age_ms", to_ms(loop_.now() - lists_at_))
+            .field("lease_left_ms", to_ms(lease_given_ - loop_.now()));
+        suspended_ = true;
+        resumed_by_report_ = 0;
+    }
+}
+
+std::optional<worker_clock> worker_guard::lease() {
     const auto left = granted_until_ - loop_.now();
-    if (clock_at_ == time_point{} || left <= duration::zero()) {
+    if (clock_at_ == time_point{} || left <= duration::zero() || suspended_ ||
+        resumed_by_report_ > 0) {
         return std::nullopt;
     }
+    lease_given_ = std::max(lease_given_, granted_until_);
     const auto span =
         std::chrono::duration_cast<std::chrono::milliseconds>(granted_until_ - clock_at_);
     return worker_clock{clock_.get() + span.count()};
@@ -413,6 +453,8 @@
     const auto number = ++holds_sent_;
     hold_open_ = true;
     open_hold_ = number;
+    hold_sent_at_ = loop_.now();
+    watch_worker();
     const auto wait = lists_known_ ? hold_wait : duration::zero();
     worker_.hold({.worker = facts_->life,
                   .token = token_,
@@ -460,6 +502,13 @@
 void worker_guard::take_lists(std::uint64_t number, const hold_reply& reply) {
     const auto runs_before = runs_.size();
     const bool known_before = lists_known_;
+    lists_at_ = std::max(lists_at_, hold_sent_at_);
+    if (suspended_) {
+        log_event(log_level::info, "worker-regained").field("worker", facts_->life.worker.get());
+        suspended_ = false;
+        resumed_by_report_ = reports_sent_ + 1;
+        report();
+    }
     runs_ = reply.runs;
     ends_ = reply.ends;
     std::erase_if(ends_, [&](const run_end& end) { return end.number <= ends_stored_; });
--- a/src/baobabrack/workload/worker_guard.hpp
+++ b/src/baobabrack/workload/worker_guard.hpp
@@ -34,6 +34,8 @@
         std::string zmq_endpoint;
         /// ZeroMQ endpoints of schedulers to look for the leader at.
         std::vector<std::string> seeds;
+        /// The longest lease that a worker can have.
+        duration most_lease = std::chrono::seconds{10};
     };
 
     worker_guard(options opts, runtime& loop, peer_network& network, worker_port& worker,
@@ -89,7 +91,8 @@
     void take_lists(std::uint64_t number, const hold_reply& reply);
     void raise_token(std::uint64_t by);
     void take_clock(const std::optional<worker_clock>& clock);
-    std::optional<worker_clock> lease() const;
+    std::optional<worker_clock> lease();
+    void watch_worker();
     bool has_room(const resources& needs) const;
     bool listed(const run_key& key) const;
     bool ended(const run_key& key) const;
@@ -111,6 +114,13 @@
     std::uint64_t orders_seen_ = 0;
     time_point orders_at_{};
     time_point granted_until_{};
+    // The longest lease that any call has given the worker, whether it was answered or not.
+    time_point lease_given_{};
+    // Set while the worker does not answer, and until orders answer this report afterwards.
+    bool suspended_ = false;
+    std::uint64_t resumed_by_report_ = 0;
+    time_point lists_at_{};
+    time_point hold_sent_at_{};
     fencing_token token_;
     std::uint64_t ends_stored_ = 0;
 
--- a/src/baobabrack/workload/worker_table.hpp
+++ b/src/baobabrack/workload/worker_table.hpp
@@ -49,6 +49,8 @@
     worker_facts facts;
     /// When its guard was last heard.
     time_point heard{};
+    /// Whether the worker answers its guard.
+    bool answers = false;
     /// After this moment its lease has lapsed for certain, unless it is extended.
     time_point lapsed_after{};
     /// Held by every run that is assigned there, also while it stops.
