--- a/src/baobabrack/keyed/topic_follower.hpp
+++ b/src/baobabrack/keyed/topic_follower.hpp
@@ -24,7 +24,7 @@
         duration answer_timeout = std::chrono::milliseconds{800};
         duration retry_delay = std::chrono::milliseconds{100};
         /// Longest delay between two tries while the store does not answer.
-        duration most_retry_delay = std::chrono::milliseconds{500};
+        duration most_retry_delay = std::chrono::milliseconds{300};
     };
     using entry_handler = std::function<void(const keyed_entry&)>;
 
@@ -55,6 +55,11 @@
     /// @return calls that failed since the last one that did not
     unsigned failures() const { return failures_; }
 
+    /// @return how long calls have failed; zero if the last one did not
+    duration failing_for() const {
+        return failures_ > 0 ? loop_.now() - failing_since_ : duration::zero();
+    }
+
 private:
     void list(const std::string& after);
     void take_list(const result<keyed_page>& page);
--- a/src/baobabrack/workload/front_desk.cpp
+++ b/src/baobabrack/workload/front_desk.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+constexpr std::chrono::seconds least_retry_after{1};
+constexpr std::chrono::seconds most_retry_after{4};
+
 std::int64_t to_ms(duration span) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
 }
@@ -106,9 +109,14 @@
     return found;
 }
 
-// Another scheduler can be asked at once if the store answers it.
+// Another scheduler can be asked at once if the store answers it. Otherwise an outage that has
+// lasted for a while will last as long again, and a caller has only so many tries.
 std::chrono::seconds front_desk::come_back() const {
-    return std::chrono::seconds{node_.peers().find_with_store() ? 0 : 1};
+    if (node_.peers().find_with_store()) {
+        return std::chrono::seconds{0};
+    }
+    const auto lost = std::chrono::ceil<std::chrono::seconds>(node_.store_lost_for());
+    return std::clamp(lost, least_retry_after, most_retry_after);
 }
 
 duration front_desk::time_for(duration deadline) const {
--- a/src/baobabrack/workload/intake_writer.cpp
+++ b/src/baobabrack/workload/intake_writer.cpp
@@ -31,12 +31,14 @@
 };
 
 intake_writer::intake_writer(options opts, runtime& loop, keyed_log& log, peer_network& network,
-                             const peer_pings& peers, entry_handler on_stored)
+                             const peer_pings& peers, std::function<bool()> store_answers,
+                             entry_handler on_stored)
     : options_(std::move(opts)),
       loop_(loop),
       log_(log),
       network_(network),
       peers_(peers),
+      store_answers_(std::move(store_answers)),
       on_stored_(std::move(on_stored)) {
 }
 
@@ -57,7 +59,12 @@
         return;
     }
     ++one->tries;
-    const auto peer = one->refused || one->perhaps_stored ? peers_.find_with_store() : std::nullopt;
+    const bool direct = store_answers_() && !one->refused;
+    const auto peer = direct ? std::nullopt : peers_.find_with_store();
+    if (!direct && !peer && !one->perhaps_stored && !store_answers_()) {
+        one->done(receipt::not_stored);
+        return;
+    }
     if (peer) {
         forward(one, *peer, std::min(left, try_timeout));
     } else {
--- a/src/baobabrack/workload/intake_writer.hpp
+++ b/src/baobabrack/workload/intake_writer.hpp
@@ -31,9 +31,13 @@
         std::string zmq_endpoint;
     };
 
+    /// @param store_answers says whether the store has answered the newest calls; while it does
+    /// not,
+    ///                      nothing is sent to it, so that a refusal is certain
     /// @param on_stored gets each record that was stored for this scheduler, before its receipt
     intake_writer(options opts, runtime& loop, keyed_log& log, peer_network& network,
-                  const peer_pings& peers, entry_handler on_stored);
+                  const peer_pings& peers, std::function<bool()> store_answers,
+                  entry_handler on_stored);
     intake_writer(const intake_writer&) = delete;
     intake_writer& operator=(const intake_writer&) = delete;
     ~intake_writer();
@@ -61,6 +65,7 @@
     keyed_log& log_;
     peer_network& network_;
     const peer_pings& peers_;
+    std::function<bool()> store_answers_;
     entry_handler on_stored_;
     std::uint64_t next_id_ = 1;
     std::map<std::uint64_t, pending_ptr> forwarded_;
--- a/src/baobabrack/workload/scheduler.cpp
+++ b/src/baobabrack/workload/scheduler.cpp
@@ -156,11 +156,13 @@
     add_note("run-stopping", name, ref.task->run, ref.task->place.host, why);
 }
 
-progress_batch scheduler::take_batch() {
+progress_batch scheduler::take_batch(bool with_checkpoints) {
     progress_batch batch;
     batch.changes = std::exchange(ended_jobs_, {});
     for (auto& [id, job] : jobs_) {
-        if (std::exchange(job.dirty, false)) {
+        if (job.dirty || (with_checkpoints && job.saved)) {
+            job.dirty = false;
+            job.saved = false;
             batch.changes.push_back({.job = id, .progress = job.progress});
         }
     }
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -145,7 +145,9 @@
     void decide(const directory* config, time_point now, wall_time wall_now);
 
     /// @return decisions since the last call; empty if there are none
-    progress_batch take_batch();
+    ///
+    /// @param with_checkpoints whether new checkpoints alone are a reason to store a job
+    progress_batch take_batch(bool with_checkpoints);
 
     /// The batch has been stored.
     void stored(const progress_batch& batch);
@@ -188,6 +190,8 @@
         /// By occurrence, step and task, as in `progress`.
         std::vector<std::vector<std::vector<task_extra>>> extra;
         bool dirty = false;
+        /// Only checkpoints have changed.
+        bool saved = false;
     };
     struct task_ref {
         open_job* job = nullptr;
--- a/src/baobabrack/workload/scheduler_node.cpp
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -47,9 +47,10 @@
       writer_(around.loop, around.log, {.topic = progress_topic}),
       pings_({.id = options_.id, .zmq_endpoint = options_.zmq_endpoint, .seeds = options_.seeds},
              around.loop, around.network),
-      intake_writer_({.topic = intake_topic, .zmq_endpoint = options_.zmq_endpoint}, around.loop,
-                     around.log, around.network, pings_,
-                     [this](const keyed_entry& entry) { take_intake(entry); }),
+      intake_writer_(
+          {.topic = intake_topic, .zmq_endpoint = options_.zmq_endpoint}, around.loop, around.log,
+          around.network, pings_, [this] { return store_answers(); },
+          [this](const keyed_entry& entry) { take_intake(entry); }),
       tick_timer_(around.loop),
       decide_timer_(around.loop) {
 }
@@ -197,6 +198,9 @@
 }
 
 bool scheduler_node::store_answers() const {
+    if (!intake_.caught_up() || intake_.failures() > 0) {
+        return false;
+    }
     if (!leading()) {
         return progress_.caught_up() && progress_.failures() == 0;
     }
@@ -240,9 +244,9 @@
     if (writer_.busy() || !leading()) {
         return;
     }
-    auto batch = scheduler_->take_batch();
-    const bool nothing = batch.changes.empty() && batch.ends.empty();
     const bool proof_due = around_.loop.now() - writer_.proved() >= proof_interval;
+    auto batch = scheduler_->take_batch(proof_due);
+    const bool nothing = batch.changes.empty() && batch.ends.empty();
     if (!nothing || proof_due || resigning_) {
         write_batch(std::move(batch));
     }
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -114,8 +114,10 @@
             touched_.insert(report.facts.life.host);
             continue;
         }
-        if (!run.checkpoint.empty() && ref->step->checkpoints) {
+        if (!run.checkpoint.empty() && ref->step->checkpoints &&
+            ref->task->checkpoint != run.checkpoint) {
             ref->task->checkpoint = run.checkpoint;
+            ref->job->saved = true;
         }
         if (worker.answers && report.lists_age < fresh_lists) {
             watch_progress(run.task, run, *ref, now);
