Store the resignation itself before stepping down; let guards report before placing

Change: the batch that carries the resignation is the one that ends the lead; pings that say that the sender does not lead count as silence; claims are delayed by twice an answer's time; a new leader places nothing for 250 ms or until all guards have reported; each urgent task gets room of its own.

--- a/src/baobabrack/workload/peer_pings.cpp
+++ b/src/baobabrack/workload/peer_pings.cpp
@@ -48,8 +48,8 @@
 }
 
 void peer_pings::take(const wire::WorkloadPing& message) {
-    peers_[message.zmq_endpoint()] = {.heard = loop_.now(),
-                                      .store_answers = message.store_answers()};
+    peers_[message.zmq_endpoint()] = {
+        .heard = loop_.now(), .term = message.term(), .store_answers = message.store_answers()};
 }
 
 bool peer_pings::alive(const std::string& endpoint) const {
@@ -57,6 +57,10 @@
     return found != peers_.end() && loop_.now() - found->second.heard < ping_silence;
 }
 
+bool peer_pings::leads(const std::string& endpoint) const {
+    return alive(endpoint) && peers_.at(endpoint).term > 0;
+}
+
 bool peer_pings::store_lost(const std::string& endpoint) const {
     return alive(endpoint) && !peers_.at(endpoint).store_answers;
 }
--- a/src/baobabrack/workload/peer_pings.hpp
+++ b/src/baobabrack/workload/peer_pings.hpp
@@ -46,6 +46,9 @@
     /// @return whether the scheduler was heard a moment ago
     bool alive(const std::string& endpoint) const;
 
+    /// @return whether the scheduler has said a moment ago that it leads
+    bool leads(const std::string& endpoint) const;
+
     /// @return whether the scheduler has said a moment ago that the store does not answer it
     bool store_lost(const std::string& endpoint) const;
 
@@ -55,6 +58,7 @@
 private:
     struct peer {
         time_point heard{};
+        std::uint64_t term = 0;
         bool store_answers = false;
     };
 
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -297,7 +297,10 @@
         auto& room = rooms[service];
         const auto places = choose_places(waiting, room, now);
         if (!places) {
-            hopeless.insert(group.step);
+            // Each task of an urgent step gets room of its own.
+            if (waiting.job->spec.priority != 0) {
+                hopeless.insert(group.step);
+            }
             continue;
         }
         workload::take(room.left, group, *places);
--- a/src/baobabrack/workload/scheduler_node.cpp
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -27,8 +27,11 @@
 // An append that is unanswered for this long, many times the usual, counts as refused.
 constexpr duration slow_append = 600ms;
 // A scheduler far from the store decides slowly, so it waits longer before it claims the lead.
-constexpr int claim_delay_per_answer_time = 6;
-constexpr duration most_claim_delay = 600ms;
+constexpr int claim_delay_per_answer_time = 2;
+constexpr duration most_claim_delay = 150ms;
+// A new leader places nothing before the guards have reported, or for this long: it would stop
+// work on the few hosts that it knows although others are idle.
+constexpr duration settling_time = 250ms;
 // Fencing tokens: the term, then the guard's session under it, then the guard's own count.
 constexpr unsigned term_shift = 24;
 constexpr unsigned session_shift = 12;
@@ -135,7 +138,7 @@
     const auto now = around_.loop.now();
     const bool none = leader_.empty() || leader_resigned_ || leader_ == options_.id;
     const bool unable = pings_.store_lost(leader_endpoint_);
-    const bool silent = !pings_.alive(leader_endpoint_);
+    const bool silent = !pings_.leads(leader_endpoint_);
     const auto silence = none || unable ? claim_delay_ : leader_silence + claim_delay_;
     const bool gone = none || unable || silent;
     if (gone && progress_.failures() == 0 && now - leader_seen_ >= silence) {
@@ -220,10 +223,20 @@
     return around_.loop.now() - writer_.proved() < proof_limit;
 }
 
+bool scheduler_node::settled() const {
+    if (around_.loop.now() - lead_since_ >= settling_time) {
+        return true;
+    }
+    return std::all_of(guards_.begin(), guards_.end(), [&](const std::string& guard) {
+        const auto found = sessions_.find(host_id{guard});
+        return found != sessions_.end() && found->second.report.lists_known;
+    });
+}
+
 const directory* scheduler_node::usable_config() const {
     const auto confirmed = around_.config.confirmed();
     const bool known = confirmed && around_.loop.now() - *confirmed < options_.config_limit;
-    return known && proved_recently() ? around_.config.current() : nullptr;
+    return known && proved_recently() && settled() ? around_.config.current() : nullptr;
 }
 
 void scheduler_node::decide() {
@@ -258,16 +271,22 @@
         records.push_back({.key = std::string{progress_prefix} + change.job.get(),
                            .value = to_wire(change.progress).SerializeAsString()});
     }
-    records.push_back(leader_record(resigning_));
+    const bool resigns = resigning_;
+    records.push_back(leader_record(resigns));
     const auto first = writer_.end();
-    writer_.write(
-        records, [this, batch = std::move(batch), records, first](conditional_writer::outcome how) {
-            if (how == conditional_writer::outcome::overtaken) {
-                step_down("another scheduler has stored its records first");
-                return;
-            }
-            batch_stored(batch, records, first);
-        });
+    writer_.write(records, [this, batch = std::move(batch), records, first,
+                            resigns](conditional_writer::outcome how) {
+        if (how == conditional_writer::outcome::overtaken) {
+            step_down("another scheduler has stored its records first");
+            return;
+        }
+        batch_stored(batch, records, first);
+        if (resigns) {
+            step_down("this scheduler is stopping");
+        } else {
+            decide();
+        }
+    });
 }
 
 void scheduler_node::batch_stored(const progress_batch& batch,
@@ -280,11 +299,6 @@
         ++offset;
     }
     scheduler_->stored(batch);
-    if (resigning_) {
-        step_down("this scheduler is stopping");
-        return;
-    }
-    decide();
 }
 
 void scheduler_node::resign() {
--- a/src/baobabrack/workload/scheduler_node.hpp
+++ b/src/baobabrack/workload/scheduler_node.hpp
@@ -109,6 +109,7 @@
     void send_redirect(const std::string& guard);
     void send_orders(const host_id& host);
     bool proved_recently() const;
+    bool settled() const;
     const directory* usable_config() const;
     void log_notes();
     void update_metrics();
