Tell slow workers and stalled runs by their progress, and move runs from them once

Change: each worker's progress against the estimates is averaged; one that makes less than a fifth is avoided for 4 s after its last sample, unless most are so; a run there is stopped once if it ends sooner elsewhere; a run stands still after 1.5 s and a seventeenth of its estimate.

--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -177,6 +177,8 @@
         /// Highest run that has been stored.
         run_number stored_run;
         bool stopping = false;
+        /// Has been moved from a slow worker before.
+        bool moved = false;
         time_point assigned{};
         std::uint32_t percent = 0;
         /// Since when the percent has been what it is.
@@ -223,6 +225,9 @@
     void stop(const task_name& name, const task_ref& ref, const std::string& why);
     void watch_progress(const task_name& name, const run_report& run, const task_ref& ref,
                         time_point now);
+    duration patience(const task_ref& ref) const;
+    bool in_fast_place(const task_ref& ref) const;
+    void move_from_slow(const task_name& name, const task_ref& ref, time_point now);
     template <typename Action>
     void for_each_task(open_job& job, Action action);
     void settle_jobs(time_point now, wall_time wall_now);
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -173,22 +173,28 @@
 }
 
 candidates scheduler::candidates_of(const service_id& service, time_point now, bool empty) const {
-    candidates found;
+    candidates sound;
+    candidates slow;
     for (const auto& [host, worker] : workers_.all()) {
         const bool usable = worker.facts.service == service && !worker.facts.draining &&
                             !worker.gone && worker.answers && !worker.has_strays &&
                             now <= worker.heard + options_.silence_limit &&
                             !worker.record.suspect(now);
         if (usable) {
-            found.push_back({.host = host,
-                             .rack = worker.facts.rack,
-                             .labels = worker.facts.labels,
-                             .left = empty ? worker.facts.capacity
-                                           : left_of(worker.facts.capacity, worker.used),
-                             .capacity_accelerators = worker.facts.capacity.accelerators.get()});
+            auto& into = worker.speed.slow(now) ? slow : sound;
+            into.push_back({.host = host,
+                            .rack = worker.facts.rack,
+                            .labels = worker.facts.labels,
+                            .left = empty ? worker.facts.capacity
+                                          : left_of(worker.facts.capacity, worker.used),
+                            .capacity_accelerators = worker.facts.capacity.accelerators.get()});
         }
     }
-    return found;
+    // Where most are slow, the estimates are wrong rather than the workers.
+    if (slow.size() >= sound.size()) {
+        sound.insert(sound.end(), slow.begin(), slow.end());
+    }
+    return sound;
 }
 
 std::vector<scheduler::waiting_group> scheduler::waiting_groups(const directory& config,
@@ -369,6 +375,7 @@
                       .checkpoint = checkpoint};
         *ref->extra = {.stored_run = ref->extra->stored_run,
                        .stopping = false,
+                       .moved = ref->extra->moved,
                        .assigned = now,
                        .percent = 0,
                        .percent_since = now};
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -8,13 +8,24 @@
 namespace {
 
 // A run whose progress does not move for this long, and a share of its estimate more, stands
-// still: a sound worker of a sixth of the speed still moves by a percent in that time.
-constexpr duration stall_base = std::chrono::milliseconds{2500};
-constexpr double stall_share = 0.12;
+// still: at a sixth of the usual speed it would have moved by a percent.
+constexpr duration stall_base = std::chrono::milliseconds{1500};
+constexpr double stall_share = 0.06;
+// A run may need this much longer before it moves at all, a gang until all its runs are there.
+constexpr duration start_time = std::chrono::milliseconds{700};
+constexpr duration gang_start_time = std::chrono::milliseconds{1500};
+// A run on a slow worker is moved if that is expected to save this much time, and half of it.
+constexpr duration least_gain = std::chrono::milliseconds{600};
+constexpr double gain_factor = 1.5;
 constexpr std::uint32_t whole_percent = 100;
+
 // Older lists say nothing about progress.
 constexpr duration fresh_lists = std::chrono::milliseconds{1200};
 
+double seconds(duration span) {
+    return std::chrono::duration<double>(span).count();
+}
+
 }  // namespace
 
 void scheduler::take(const worker_report& report, time_point now) {
@@ -129,17 +140,75 @@
 
 void scheduler::watch_progress(const task_name& name, const run_report& run, const task_ref& ref,
                                time_point now) {
-    if (run.percent != ref.extra->percent || run.percent >= whole_percent ||
-        ref.step->long_running) {
-        ref.extra->percent = run.percent;
-        ref.extra->percent_since = now;
+    auto& extra = *ref.extra;
+    auto& worker = workers_.at(ref.task->place.host);
+    if (run.percent >= whole_percent || ref.step->long_running || extra.stopping) {
+        extra.percent = run.percent;
+        extra.percent_since = now;
         return;
     }
-    const auto patience =
-        stall_base + std::chrono::duration_cast<duration>(ref.step->estimated * stall_share);
-    if (now - ref.extra->percent_since > patience && !ref.extra->stopping) {
-        workers_.at(ref.task->place.host).record.failed(name.step.job, now);
+    const auto waited = now - extra.percent_since;
+    if (run.percent != extra.percent) {
+        const bool moved_before = extra.percent > 0;
+        const auto expected = ref.step->estimated * (run.percent - extra.percent) / whole_percent;
+        extra.percent = run.percent;
+        extra.percent_since = now;
+        if (moved_before && waited > duration::zero() && in_fast_place(ref)) {
+            worker.speed.sample(seconds(expected) / seconds(waited), now);
+        }
+    } else if (waited > patience(ref)) {
+        worker.speed.sample(0, now);
+        worker.record.failed(name.step.job, now);
         stop(name, ref, "stands still at " + std::to_string(run.percent) + "%");
+        return;
+    }
+    move_from_slow(name, ref, now);
+}
+
+duration scheduler::patience(const task_ref& ref) const {
+    auto patience =
+        stall_base + std::chrono::duration_cast<duration>(ref.step->estimated * stall_share);
+    if (ref.extra->percent == 0) {
+        patience += ref.step->gang ? gang_start_time : start_time;
+    }
+    return patience;
+}
+
+// Whether the run is near its data and its gang in one rack, so that it should keep to the
+// estimate.
+bool scheduler::in_fast_place(const task_ref& ref) const {
+    const auto rack_of = [this](const task_progress& task) {
+        const auto* worker = workers_.find(task.place.host);
+        return worker == nullptr ? rack_id{} : worker->facts.rack;
+    };
+    const auto rack = rack_of(*ref.task);
+    if (!ref.step->data_rack.get().empty() && ref.step->data_rack != rack) {
+        return false;
+    }
+    return !ref.step->gang || !ref.step->rack_local ||
+           std::all_of(ref.tasks->begin(), ref.tasks->end(),
+                       [&](const task_progress& task) { return rack_of(task) == rack; });
+}
+
+// Stops a run on a slow worker if it ends sooner when it begins again elsewhere.
+void scheduler::move_from_slow(const task_name& name, const task_ref& ref, time_point now) {
+    const auto& worker = workers_.at(ref.task->place.host);
+    if (!worker.speed.slow(now) || ref.extra->percent == 0 || ref.extra->moved) {
+        return;
+    }
+    const auto left_share = 1.0 - static_cast<double>(ref.extra->percent) / whole_percent;
+    const auto whole = seconds(ref.step->estimated);
+    const auto here = whole * left_share / std::max(worker.speed.value(now), 0.05);
+    const auto elsewhere = ref.step->checkpoints ? whole * left_share : whole;
+    if (here < elsewhere * gain_factor + seconds(least_gain)) {
+        return;
+    }
+    const auto sound = candidates_of(ref.job->spec.service, now, false);
+    const task_group group{.step = name.step, .spec = ref.step, .tasks = {name.index}};
+    if (ref.job->spec.priority == 0 || place(group, sound, {})) {
+        // Once: where it is slow again, its estimate is wrong.
+        ref.extra->moved = true;
+        stop(name, ref, "its worker is slow");
     }
 }
 
--- a/src/baobabrack/workload/worker_table.cpp
+++ b/src/baobabrack/workload/worker_table.cpp
@@ -12,6 +12,13 @@
 constexpr std::size_t jobs_until_suspect = 2;
 // Between two trials of a suspect worker.
 constexpr duration trial_interval = std::chrono::seconds{3};
+// Weight of a new sample of a worker's speed; estimates are off by half at times.
+constexpr double sample_weight = 0.4;
+// Below this share of the expected speed a worker is avoided: less than what an estimate that is
+// off by half and a slower kind of worker explain together.
+constexpr double slow_share = 0.22;
+// Without a sample for this long a worker counts as sound again.
+constexpr duration speed_memory = std::chrono::seconds{4};
 
 template <typename Amount>
 Amount less(const Amount& whole, const Amount& used) {
@@ -72,6 +79,19 @@
     return failed_jobs_.size() >= jobs_until_suspect && now < last_failure_ + trial_interval;
 }
 
+void work_speed::sample(double share, time_point now) {
+    average_ = value(now) * (1 - sample_weight) + std::min(share, 1.5) * sample_weight;
+    sampled_ = now;
+}
+
+double work_speed::value(time_point now) const {
+    return now < sampled_ + speed_memory ? average_ : 1;
+}
+
+bool work_speed::slow(time_point now) const {
+    return value(now) < slow_share;
+}
+
 worker_state* worker_table::find(const host_id& host) {
     const auto found = workers_.find(host);
     return found == workers_.end() ? nullptr : &found->second;
--- a/src/baobabrack/workload/worker_table.hpp
+++ b/src/baobabrack/workload/worker_table.hpp
@@ -44,6 +44,25 @@
     time_point last_failure_{};
 };
 
+/// How fast a worker's runs move against their estimates.
+///
+/// Answers the load in which a few workers turn slow or stand still while others are idle: such
+/// a worker gets nothing new until its last sample is old.
+class work_speed {
+public:
+    /// @param share of the expected progress that a run has made
+    void sample(double share, time_point now);
+
+    /// @return 1 for a worker that keeps to the estimates, or of which nothing is known
+    double value(time_point now) const;
+
+    bool slow(time_point now) const;
+
+private:
+    double average_ = 1;
+    time_point sampled_{};
+};
+
 /// A worker as the leader sees it.
 struct worker_state {
     worker_facts facts;
@@ -56,6 +75,7 @@
     /// Held by every run that is assigned there, also while it stops.
     resources used;
     run_record record;
+    work_speed speed;
     /// Set once the runs of this life are known to be gone.
     bool gone = false;
     /// The worker has runs that nobody wants and whose size is not counted in `used`.
