Test schedulers, guards and workers whole in virtual time; bound a silent worker's lease once

Cause: runs of a worker that stays silent while its guard lives were never given up: each report moved the lease bound on, since the slack was added to a lease that had lapsed long before.

Change: while the guard does not extend the lease, the bound only shrinks.

--- /dev/null
+++ b/scenarios/fakes/fake_guarded_worker.hpp
@@ -0,0 +1,131 @@
+#ifndef BAOBABRACK_FAKES_FAKE_GUARDED_WORKER_HPP
+#define BAOBABRACK_FAKES_FAKE_GUARDED_WORKER_HPP
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "baobabrack/runtime/runtime.hpp"
+#include "baobabrack/workload/worker_port.hpp"
+
+namespace baobabrack::fakes {
+
+/// Hears what really runs, to check invariants by.
+class run_listener {
+public:
+    run_listener() = default;
+    run_listener(const run_listener&) = delete;
+    run_listener& operator=(const run_listener&) = delete;
+    virtual ~run_listener() = default;
+
+    virtual void run_began(const workload::task_name& task, workload::run_number run,
+                           const workload::worker_life& where) = 0;
+
+    /// @param how as the worker lists it; nothing if the worker crashed
+    virtual void run_over(const workload::task_name& task, workload::run_number run,
+                          std::optional<workload::end_kind> how) = 0;
+
+    /// The worker forgets an end because the caller says that it is stored.
+    virtual void end_noted(const workload::run_end& end) = 0;
+
+    /// The runs of a worker need more than it has.
+    virtual void overfull(const workload::worker_life& where) = 0;
+};
+
+/// A worker that starts whatever it is told to, keeps leases and fencing tokens, and lists ends.
+class fake_guarded_worker {
+public:
+    struct options {
+        workload::host_id host;
+        resources capacity;
+        rack_id rack;
+        /// How long a run takes.
+        duration run_time = std::chrono::milliseconds{900};
+        duration stop_time = std::chrono::milliseconds{150};
+    };
+    struct faults {
+        /// Share of the calls that get no answer and are carried out up to some seconds later.
+        double late_calls = 0;
+        bool silent = false;
+        /// Every run fails.
+        bool fails_all = false;
+        /// Runs make no progress.
+        bool stands_still = false;
+        double slowdown = 1;
+    };
+
+    fake_guarded_worker(options opts, runtime& loop, run_listener& listener);
+    fake_guarded_worker(const fake_guarded_worker&) = delete;
+    fake_guarded_worker& operator=(const fake_guarded_worker&) = delete;
+
+    faults now;
+    bool draining = false;
+
+    /// Ends every run without a trace and begins a new life.
+    void crash();
+
+    workload::worker_facts facts() const;
+    workload::worker_clock clock() const;
+    std::size_t running() const { return runs_.size(); }
+
+    workload::hold_reply hold(const workload::worker_port::hold_call& call);
+    workload::call_reply start(const workload::worker_port::start_call& call);
+    workload::call_reply stop(const workload::worker_port::stop_call& call);
+
+    runtime& loop() { return loop_; }
+    bool has_unseen_ends() const { return !ends_.empty(); }
+
+private:
+    using run_key = std::pair<workload::task_name, workload::run_number>;
+    struct live_run {
+        resources needs;
+        time_point began{};
+        bool stopping = false;
+    };
+
+    workload::call_reply reply(workload::call_end end) const { return {.end = end, .clock = clock()}; }
+    bool fenced(workload::fencing_token token);
+    void extend(const std::optional<workload::worker_clock>& lease);
+    void watch_lease();
+    void finish(const run_key& key, workload::end_kind how, std::uint64_t life);
+    std::uint32_t percent(const live_run& run) const;
+
+    options options_;
+    runtime& loop_;
+    run_listener& listener_;
+    std::uint64_t life_ = 1;
+    time_point born_{};
+    workload::fencing_token highest_token_;
+    std::int64_t lease_ms_ = 0;
+    std::map<run_key, live_run> runs_;
+    std::map<workload::task_name, workload::run_number> over_;
+    std::vector<workload::run_end> ends_;
+    std::uint64_t ends_made_ = 0;
+};
+
+/// A guard's way to its worker; its callbacks end with it.
+class fake_worker_link : public workload::worker_port {
+public:
+    explicit fake_worker_link(fake_guarded_worker& worker) : worker_(worker) {}
+
+    void hold(const hold_call& call, std::function<void(workload::hold_reply)> done) override;
+    void start(const start_call& call, std::function<void(workload::call_reply)> done) override;
+    void stop(const stop_call& call, std::function<void(workload::call_reply)> done) override;
+
+private:
+    void later(duration delay_time, std::function<void()> action);
+    bool lose(duration timeout, const std::function<void()>& unanswered,
+              std::function<void()> late_effect);
+    void wait_for_end(const hold_call& call, time_point until,
+                      const std::function<void(workload::hold_reply)>& done);
+
+    fake_guarded_worker& worker_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace baobabrack::fakes
+
+#endif
--- /dev/null
+++ b/scenarios/fakes/fake_store.hpp
@@ -0,0 +1,83 @@
+#ifndef BAOBABRACK_FAKES_FAKE_STORE_HPP
+#define BAOBABRACK_FAKES_FAKE_STORE_HPP
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "baobabrack/keyed/keyed_log.hpp"
+#include "baobabrack/runtime/runtime.hpp"
+
+namespace baobabrack::fakes {
+
+/// Keyed topics in memory. Each process reaches them by a link of its own, which can fail.
+class fake_store {
+public:
+    explicit fake_store(runtime& loop) : loop_(loop) {}
+
+    struct topic {
+        std::vector<keyed_record> records;
+        /// Records before this one have expired.
+        std::uint64_t first = 0;
+    };
+
+    topic& at(const topic_id& id) { return topics_[id]; }
+
+    /// Drops the history of every topic; the newest record of each key stays.
+    void forget_history();
+
+    /// @return whether the append was carried out
+    append_reply append(const keyed_append& request);
+
+    /// @return the newest record of each key, and the end
+    keyed_page newest(const topic_id& id) const;
+
+    /// @return records from an offset, or `expired`
+    result<keyed_page> read(const topic_id& id, log_offset from) const;
+
+private:
+    runtime& loop_;
+    std::map<topic_id, topic> topics_;
+};
+
+/// One process's way to the store.
+class fake_store_link : public keyed_log {
+public:
+    /// How the way fails.
+    struct faults {
+        /// Every call is refused; nothing is done.
+        bool refuses = false;
+        /// No call is answered; nothing is done.
+        bool silent = false;
+        /// Share of the appends that get no answer; they are carried out at once, late or never.
+        double lost_answers = 0;
+        /// Reads show the topics as they were this many records ago.
+        std::uint64_t stale_records = 0;
+    };
+
+    fake_store_link(runtime& loop, fake_store& store) : loop_(loop), store_(store) {}
+
+    faults now;
+    duration delay = std::chrono::milliseconds{4};
+
+    void append(keyed_append request, append_callback done) override;
+    void read(const topic_id& topic, log_offset from, duration wait, duration timeout,
+              page_callback done) override;
+    void newest(const topic_id& topic, const std::string& after, duration timeout,
+                page_callback done) override;
+
+private:
+    void later(duration delay_time, std::function<void()> action);
+    template <typename Callback>
+    bool fails(const Callback& done, duration timeout);
+    void poll(const topic_id& topic, log_offset from, time_point until, const page_callback& done);
+
+    runtime& loop_;
+    fake_store& store_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace baobabrack::fakes
+
+#endif
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -36,16 +36,23 @@
         worker.facts.life = life;
         worker.used = {};
         worker.record = {};
+        worker.speed = {};
         worker.gone = false;
+        worker.suspended = false;
     }
     worker.facts = report.facts;
     worker.heard = now;
     worker.answers = report.lists_known && !report.lease_suspended;
-    if (report.lease_suspended) {
-        worker.lapsed_after = now + lapse_bound(report.lease_left);
-    } else {
+    if (!report.lease_suspended) {
         worker.lapsed_after = std::max(worker.lapsed_after, now + lapse_bound(options_.lease));
+    } else if (worker.suspended) {
+        // Nobody has extended it since the first such report.
+        worker.lapsed_after =
+            std::min(worker.lapsed_after, now + lapse_bound(report.lease_left));
+    } else {
+        worker.lapsed_after = now + lapse_bound(report.lease_left);
     }
+    worker.suspended = report.lease_suspended;
     if (!report.lists_known) {
         return;
     }
--- a/src/baobabrack/workload/worker_table.hpp
+++ b/src/baobabrack/workload/worker_table.hpp
@@ -70,6 +70,8 @@
     time_point heard{};
     /// Whether the worker answers its guard.
     bool answers = false;
+    /// Its guard does not extend its lease.
+    bool suspended = false;
     /// After this moment its lease has lapsed for certain, unless it is extended.
     time_point lapsed_after{};
     /// Held by every run that is assigned there, also while it stops.
