--- a/scenarios/fakes/fake_guarded_worker.cpp
+++ b/scenarios/fakes/fake_guarded_worker.cpp
@@ -91,8 +91,11 @@
     }
     runs_.erase(found);
     over_[key.first] = std::max(over_[key.first], key.second);
-    ends_.push_back(
-        {.number = ++ends_made_, .task = key.first, .run = key.second, .how = how, .checkpoint = ""});
+    ends_.push_back({.number = ++ends_made_,
+                     .task = key.first,
+                     .run = key.second,
+                     .how = how,
+                     .checkpoint = ""});
     listener_.run_over(key.first, key.second, how);
 }
 
@@ -205,7 +208,8 @@
 
 void fake_worker_link::hold(const hold_call& call, std::function<void(workload::hold_reply)> done) {
     const auto unanswered = [done] { done({.reply = {.end = call_end::unanswered}}); };
-    const bool lost = lose(call.timeout, unanswered, [&worker = worker_, call] { worker.hold(call); });
+    const bool lost =
+        lose(call.timeout, unanswered, [&worker = worker_, call] { worker.hold(call); });
     if (!lost) {
         wait_for_end(call, worker_.loop().now() + call.wait, done);
     }
--- a/scenarios/fakes/fake_guarded_worker.hpp
+++ b/scenarios/fakes/fake_guarded_worker.hpp
@@ -86,7 +86,9 @@
         bool stopping = false;
     };
 
-    workload::call_reply reply(workload::call_end end) const { return {.end = end, .clock = clock()}; }
+    workload::call_reply reply(workload::call_end end) const {
+        return {.end = end, .clock = clock()};
+    }
     bool fenced(workload::fencing_token token);
     void extend(const std::optional<workload::worker_clock>& lease);
     void watch_lease();
--- a/scenarios/fakes/fake_store.cpp
+++ b/scenarios/fakes/fake_store.cpp
@@ -129,8 +129,8 @@
     auto page = store_.read(topic, from);
     if (page && now.stale_records > 0) {
         auto& entries = page.value().entries;
-        const auto kept = entries.size() > now.stale_records ? entries.size() - now.stale_records
-                                                             : 0;
+        const auto kept =
+            entries.size() > now.stale_records ? entries.size() - now.stale_records : 0;
         entries.resize(kept);
         page.value().end = log_offset{from.get() + kept};
     }
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -191,7 +191,7 @@
         }
     }
     // Where most are slow, the estimates are wrong rather than the workers.
-    if (slow.size() >= sound.size()) {
+    if (slow.size() > sound.size()) {
         sound.insert(sound.end(), slow.begin(), slow.end());
     }
     return sound;
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -47,8 +47,7 @@
         worker.lapsed_after = std::max(worker.lapsed_after, now + lapse_bound(options_.lease));
     } else if (worker.suspended) {
         // Nobody has extended it since the first such report.
-        worker.lapsed_after =
-            std::min(worker.lapsed_after, now + lapse_bound(report.lease_left));
+        worker.lapsed_after = std::min(worker.lapsed_after, now + lapse_bound(report.lease_left));
     } else {
         worker.lapsed_after = now + lapse_bound(report.lease_left);
     }
@@ -164,7 +163,7 @@
             worker.speed.sample(seconds(expected) / seconds(waited), now);
         }
     } else if (waited > patience(ref)) {
-        worker.speed.sample(0, now);
+        worker.speed.stalled(now);
         worker.record.failed(name.step.job, now);
         stop(name, ref, "stands still at " + std::to_string(run.percent) + "%");
         return;
--- a/src/baobabrack/workload/worker_table.cpp
+++ b/src/baobabrack/workload/worker_table.cpp
@@ -84,6 +84,11 @@
     sampled_ = now;
 }
 
+void work_speed::stalled(time_point now) {
+    average_ = 0;
+    sampled_ = now;
+}
+
 double work_speed::value(time_point now) const {
     return now < sampled_ + speed_memory ? average_ : 1;
 }
--- a/src/baobabrack/workload/worker_table.hpp
+++ b/src/baobabrack/workload/worker_table.hpp
@@ -53,6 +53,9 @@
     /// @param share of the expected progress that a run has made
     void sample(double share, time_point now);
 
+    /// A run has stood still.
+    void stalled(time_point now);
+
     /// @return 1 for a worker that keeps to the estimates, or of which nothing is known
     double value(time_point now) const;
 
--- /dev/null
+++ b/tests/adapter/decoders.tests.cpp
@@ -0,0 +1,162 @@
+#include <catch2/catch.hpp>
+
+#include "platform/announcements_api.hpp"
+#include "platform/config_decoder.hpp"
+#include "platform/job_decoder.hpp"
+#include "platform/store_client.hpp"
+#include "platform/worker_client.hpp"
+
+using namespace baobabrack;
+using namespace std::chrono_literals;
+
+namespace {
+
+http_outcome answer(int status, const std::string& body) {
+    return {.end = http_end::answered, .response = {.status = status, .headers = {}, .body = body}};
+}
+
+}  // namespace
+
+TEST_CASE("Records go to the store and come back as they were", "[adapter]") {
+    const std::vector<keyed_record> records{{.key = "a", .value = std::string("\0x", 2)},
+                                            {.key = "bb", .value = ""}};
+    const auto body = std::string(16, '\0') + platform::encode_records(records);
+    const auto page = platform::decode_read(body, log_offset{5});
+    REQUIRE(page);
+    REQUIRE(page.value().entries.size() == 2);
+    CHECK(page.value().entries[0].record == records[0]);
+    CHECK(page.value().entries[1].record == records[1]);
+    CHECK(page.value().entries[1].offset == log_offset{6});
+}
+
+TEST_CASE("A page of records that is cut short is refused", "[adapter]") {
+    const auto body =
+        std::string(16, '\0') + platform::encode_records({{.key = "a", .value = "b"}});
+    CHECK_FALSE(platform::decode_read(body.substr(0, body.size() - 1), log_offset{0}));
+    CHECK_FALSE(platform::decode_read("short", log_offset{0}));
+}
+
+TEST_CASE("A listing's values are read from base64", "[adapter]") {
+    const auto page = platform::decode_newest(
+        R"({"items":[{"Key":"k","Value":"aGk=","Offset":4},{"Key":"l","Value":"aGkh","Offset":5}],)"
+        R"("HasMore":true,"EndOffset":6})");
+    REQUIRE(page);
+    CHECK(page.value().entries[0].record.value == "hi");
+    CHECK(page.value().entries[1].record.value == "hi!");
+    CHECK(page.value().more);
+    CHECK(page.value().end == log_offset{6});
+    CHECK_FALSE(platform::decode_newest(R"({"items":[{"Key":"k","Value":"%%%%","Offset":4}]})"));
+    CHECK_FALSE(platform::decode_newest("nothing"));
+}
+
+TEST_CASE("A worker's answers tell what it has done", "[adapter]") {
+    using workload::call_end;
+    CHECK(platform::decode_call(answer(200, R"({"ClockMs":7})")).end == call_end::accepted);
+    CHECK(platform::decode_call(answer(200, R"({"ClockMs":7})")).clock ==
+          workload::worker_clock{7});
+    CHECK(platform::decode_call(answer(409, R"({"Reason":"fence"})")).end == call_end::fenced);
+    CHECK(platform::decode_call(answer(409, R"({"Reason":"old"})")).end == call_end::outdated);
+    CHECK(platform::decode_call(answer(409, R"({"Reason":"late"})")).end == call_end::late);
+    CHECK(platform::decode_call(answer(409, R"({"Reason":"room"})")).end == call_end::no_room);
+    CHECK(platform::decode_call(answer(421, "")).end == call_end::other_worker);
+    CHECK(platform::decode_call(answer(503, "")).end == call_end::unavailable);
+    CHECK(platform::decode_call(answer(400, "")).end == call_end::rejected);
+    CHECK(platform::decode_call(answer(500, "")).end == call_end::unanswered);
+    CHECK(platform::decode_call({.end = http_end::not_sent}).end == call_end::unavailable);
+    CHECK(platform::decode_call({.end = http_end::timed_out}).end == call_end::unanswered);
+    CHECK(platform::decode_call({.end = http_end::broken}).end == call_end::unanswered);
+}
+
+TEST_CASE("Both lists of a worker are read, rows of another form are left out", "[adapter]") {
+    const auto hold = platform::decode_hold(
+        answer(200, R"({"ClockMs":9,"born":3,"Running":[["j.0.1.17",2,"c",41],["bad"],7],)"
+                    R"("Finished":[[58,"j.0.1.9",1,"done",""],[59,"j.x",1,"done",""]]})"),
+        incarnation{3});
+    REQUIRE(hold.runs.size() == 1);
+    CHECK(hold.runs[0].task.index == 17);
+    CHECK(hold.runs[0].checkpoint == "c");
+    CHECK(hold.runs[0].percent == 41);
+    REQUIRE(hold.ends.size() == 1);
+    CHECK(hold.ends[0].number == 58);
+    CHECK(hold.ends[0].how == workload::end_kind::done);
+}
+
+TEST_CASE("Lists of another life of the worker are not taken", "[adapter]") {
+    const auto hold = platform::decode_hold(answer(200, R"({"born":4})"), incarnation{3});
+    CHECK(hold.reply.end == workload::call_end::other_worker);
+}
+
+TEST_CASE("A task's name is read back from its text", "[adapter]") {
+    const auto task = platform::parse_task("5c0e7a21d94b36f8.2.1.17");
+    REQUIRE(task);
+    CHECK(to_text(*task) == "5c0e7a21d94b36f8.2.1.17");
+    CHECK_FALSE(platform::parse_task("5c0e7a21d94b36f8"));
+    CHECK_FALSE(platform::parse_task("5c0e7a21d94b36f8.2.x.1"));
+}
+
+TEST_CASE("A configuration is read whole or not at all", "[adapter]") {
+    const std::string text =
+        R"({"Version":7,"Routes":[{"Name":"q","Host":"h","PathPrefix":"/p/","Service":"s",)"
+        R"("Priority":1,"MaxAttempts":3,"SlackFactor":1.5,"TargetCompletionMs":400,"Public":true}],)"
+        R"("Services":[{"Name":"s","Preconditions":true}],)"
+        R"("Tenants":[{"Name":"w","ApiKeys":["k"],"Guaranteed":{"Gpu":16}}]})";
+    const auto config = platform::decode_config(text);
+    REQUIRE(config);
+    CHECK(config.value().version == workload::config_version{7});
+    const auto* queue = config.value().find_queue("h", "/p/x");
+    REQUIRE(queue != nullptr);
+    CHECK(queue->is_public);
+    CHECK(queue->target_completion == 400ms);
+    CHECK(config.value().services.front().workers_check_room);
+    CHECK(config.value().find_key("k")->guaranteed == accelerator_count{16});
+    CHECK_FALSE(platform::decode_config(R"({"Version":7,"Routes":[{"Priority":"first"}]})"));
+    CHECK_FALSE(platform::decode_config(R"({"Version":7})"));
+    CHECK_FALSE(platform::decode_config("{"));
+}
+
+TEST_CASE("The longest prefix chooses the queue", "[adapter]") {
+    const auto config = platform::decode_config(
+        R"({"Version":1,"Routes":[{"Name":"a","Host":"h","PathPrefix":"/p/"},)"
+        R"({"Name":"b","Host":"h","PathPrefix":"/p/q/"}]})");
+    REQUIRE(config);
+    CHECK(config.value().find_queue("h", "/p/q/x")->id == workload::queue_id{"b"});
+    CHECK(config.value().find_queue("h", "/p/x")->id == workload::queue_id{"a"});
+}
+
+TEST_CASE("A submission is read, and what is wrong with one is said", "[adapter]") {
+    const job_id id{"5c0e7a21d94b36f8"};
+    const auto job = platform::decode_job(
+        id, R"({"Spec":"s","Steps":[{"Count":4,"Cpu":500,"MemMb":256,"Gpu":1,"EstimatedMs":900,)"
+            R"("Affinity":"r1","Gang":true},{"Count":1,"After":[0],"Requirements":"a"}],)"
+            R"("Repetitions":2,"StartAtMs":5,"IntervalMs":7})");
+    REQUIRE(job);
+    CHECK(job.value().steps[0].tasks == 4);
+    CHECK(job.value().steps[0].data_rack == rack_id{"r1"});
+    CHECK(job.value().steps[0].gang);
+    CHECK(job.value().steps[1].after == std::vector<std::uint32_t>{0});
+    CHECK(job.value().steps[1].required == workload::label{"a"});
+    CHECK(job.value().occurrences == 2);
+    const auto bad = platform::decode_job(id, R"({"Steps":[{"Count":"four"}]})");
+    REQUIRE_FALSE(bad);
+    CHECK(bad.error().message == "step 0 has a field of a wrong type");
+    CHECK_FALSE(platform::decode_job(id, "<xml>"));
+    CHECK(platform::is_job_id("5c0e7a21d94b36f8"));
+    CHECK_FALSE(platform::is_job_id("5c0e7a21d94b36fg"));
+}
+
+TEST_CASE("An announcement by another writer names no worker", "[adapter]") {
+    const std::string good =
+        R"({"Service":"s","Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":2,"Gpu":3},)"
+        R"("Labels":["a","r1-2"],"ClockMs":5,"Sequence":4,"born":77})";
+    const auto read = [](const std::string& text) {
+        return platform::decode_announcement(workload::host_id{"h"}, worker_id{"w"}, text);
+    };
+    const auto announcement = read(good);
+    REQUIRE(announcement);
+    CHECK(announcement.value().facts.rack == rack_id{"r1-2"});
+    CHECK(announcement.value().facts.life.life == incarnation{77});
+    CHECK_FALSE(read(R"({"Service":"s","State":"dancing","Capacity":{},"Sequence":1})"));
+    CHECK_FALSE(read(R"({"Service":"s","State":"ready","Sequence":1})"));
+    CHECK_FALSE(read(R"({"Service":7,"State":"ready","Capacity":{},"Sequence":1})"));
+    CHECK_FALSE(read("\xff"));
+}
--- /dev/null
+++ b/tests/workload/job_book.tests.cpp
@@ -0,0 +1,118 @@
+#include "baobabrack/workload/job_book.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "baobabrack/workload.pb.h"
+#include "workload/workload_world.hpp"
+
+using namespace baobabrack;
+using namespace baobabrack::workload;
+using namespace baobabrack::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string record_of(const job_spec& spec) {
+    return to_wire(spec).SerializeAsString();
+}
+
+}  // namespace
+
+TEST_CASE("A repeated submission stays one job", "[book]") {
+    job_book book;
+    auto again = job_of("j", 5, 1);
+    CHECK(book.take_intake("job/j", record_of(job_of("j", 2, 1)), log_offset{3}) == job_id{"j"});
+    CHECK(book.take_intake("job/j", record_of(again), log_offset{4}) == job_id{});
+    CHECK(book.find(job_id{"j"})->spec.steps.front().tasks == 2);
+}
+
+TEST_CASE("Progress and cancels may come before the job that they speak of", "[book]") {
+    job_book book;
+    job_progress progress{.phase = job_phase::active, .occurrences = {}, .ended = {}};
+    book.take_progress("progress/j", to_wire(progress).SerializeAsString(), log_offset{1});
+    wire::WorkloadCancel cancel;
+    cancel.set_cancelled_unix_ms(1);
+    book.take_intake("cancel/j", cancel.SerializeAsString(), log_offset{1});
+    book.take_intake("job/j", record_of(job_of("j", 1, 1)), log_offset{2});
+    REQUIRE(book.find(job_id{"j"}) != nullptr);
+    CHECK(book.find(job_id{"j"})->progress.phase == job_phase::active);
+    CHECK(job_book::shown_phase(*book.find(job_id{"j"})) == job_phase::cancelled);
+}
+
+TEST_CASE("An older record of a key changes nothing", "[book]") {
+    job_book book;
+    book.take_intake("job/j", record_of(job_of("j", 1, 1)), log_offset{1});
+    job_progress ended{.phase = job_phase::completed, .occurrences = {}, .ended = {}};
+    job_progress active{.phase = job_phase::active, .occurrences = {}, .ended = {}};
+    book.take_progress("progress/j", to_wire(ended).SerializeAsString(), log_offset{9});
+    book.take_progress("progress/j", to_wire(active).SerializeAsString(), log_offset{8});
+    CHECK(book.find(job_id{"j"})->progress.phase == job_phase::completed);
+}
+
+TEST_CASE("Bytes that are no record are counted and harm nothing", "[book]") {
+    job_book book;
+    book.take_intake("job/j", "\xff\xff\xff", log_offset{1});
+    book.take_intake("what/ever", "x", log_offset{2});
+    book.take_intake("job/k", record_of(job_of("other", 1, 1)), log_offset{3});
+    CHECK(book.unreadable() == 3);
+    CHECK(book.jobs().empty());
+}
+
+TEST_CASE("Only jobs of which nothing has started count as pending", "[book]") {
+    job_book book;
+    book.take_intake("job/a", record_of(job_of("a", 1, 1)), log_offset{1});
+    book.take_intake("job/b", record_of(job_of("b", 1, 1)), log_offset{2});
+    job_progress active{.phase = job_phase::active, .occurrences = {}, .ended = {}};
+    book.take_progress("progress/b", to_wire(active).SerializeAsString(), log_offset{1});
+    CHECK(book.pending(queue_id{"queue"}) == 1);
+    CHECK(book.pending(queue_id{"other"}) == 0);
+}
+
+TEST_CASE("A job and its progress come back from their records as they were", "[book]") {
+    auto spec = job_of("j", 2, 3, true);
+    spec.steps.front().checkpoints = true;
+    spec.steps.front().rack_local = true;
+    spec.steps.front().required = label{"a"};
+    spec.steps.front().data_rack = rack_id{"r"};
+    spec.steps.front().most_per_worker = 4;
+    spec.occurrences = 2;
+    spec.first_due = wall_time{5s};
+    spec.interval = 3s;
+    const auto back = from_wire(to_wire(spec));
+    REQUIRE(back);
+    CHECK(to_wire(back.value()).SerializeAsString() == record_of(spec));
+
+    job_progress progress{.phase = job_phase::active, .occurrences = {new_occurrence(spec, 0)}};
+    auto& task = progress.occurrences.front().steps.front().front();
+    task = {.phase = task_phase::assigned,
+            .run = run_number{4},
+            .place = {.host = host_id{"h"}, .worker = worker_id{"w"}, .life = incarnation{7}},
+            .failures = 2,
+            .checkpoint = "c"};
+    const auto again = from_wire(spec, to_wire(progress));
+    const auto& read = again.occurrences.front().steps.front().front();
+    CHECK(read.place == task.place);
+    CHECK(read.run == task.run);
+    CHECK(read.failures == 2);
+    CHECK(read.checkpoint == "c");
+}
+
+TEST_CASE("Jobs that cannot be are refused with a remedy", "[book]") {
+    auto spec = job_of("j", 1, 1);
+    CHECK(check(spec));
+    SECTION("no tasks") {
+        spec.steps.front().tasks = 0;
+    }
+    SECTION("no steps") {
+        spec.steps.clear();
+    }
+    SECTION("a step that waits for itself") {
+        spec.steps.front().after = {0};
+    }
+    SECTION("too many tasks") {
+        spec.steps.front().tasks = 1'000'000;
+    }
+    const auto bad = check(spec);
+    REQUIRE_FALSE(bad);
+    CHECK_FALSE(bad.error().remedy.empty());
+}
--- a/tests/workload/scheduler_node.tests.cpp
+++ b/tests/workload/scheduler_node.tests.cpp
@@ -176,8 +176,7 @@
     CHECK(world.violations.empty());
 }
 
-TEST_CASE("Runs of a worker that stays silent run again once its lease has lapsed",
-          "[workload]") {
+TEST_CASE("Runs of a worker that stays silent run again once its lease has lapsed", "[workload]") {
     workload_world world(10, {.run_time = 12s});
     // A guard that has just started does not know what lease an earlier one gave.
     world.run_for(12s);
--- a/tests/workload/workload_world.cpp
+++ b/tests/workload/workload_world.cpp
@@ -28,9 +28,8 @@
                                     .path_prefix = "/queue/",
                                     .service = service_id{"service"}});
     config.config.services.push_back({.id = service_id{"service"}});
-    config.config.workspaces.push_back({.id = workspace_id{"workspace"},
-                                        .keys = {"key"},
-                                        .guaranteed = accelerator_count{8}});
+    config.config.workspaces.push_back(
+        {.id = workspace_id{"workspace"}, .keys = {"key"}, .guaranteed = accelerator_count{8}});
     schedulers_.resize(opts.schedulers);
     hosts_.resize(opts.hosts);
     for (unsigned at = 0; at < opts.schedulers; ++at) {
@@ -55,8 +54,9 @@
     one.link = std::make_unique<fakes::fake_store_link>(loop, store);
     one.network = network_.attach(scheduler_name(at));
     one.metrics = std::make_unique<metrics_registry>();
-    workload::scheduler_node::options opts{
-        .id = scheduler_name(at), .life = incarnation{++lives_}, .zmq_endpoint = scheduler_name(at)};
+    workload::scheduler_node::options opts{.id = scheduler_name(at),
+                                           .life = incarnation{++lives_},
+                                           .zmq_endpoint = scheduler_name(at)};
     for (unsigned other = 0; other < options_.schedulers; ++other) {
         opts.seeds.push_back(scheduler_name(other));
     }
@@ -89,8 +89,8 @@
     for (unsigned other = 0; other < options_.schedulers; ++other) {
         opts.seeds.push_back(scheduler_name(other));
     }
-    one.guard = std::make_unique<workload::worker_guard>(opts, loop, *one.network, *one.link,
-                                                         *one.metrics);
+    one.guard =
+        std::make_unique<workload::worker_guard>(opts, loop, *one.network, *one.link, *one.metrics);
     one.guard->start();
 }
 
