Write logs to standard output without blocking; tell a job's story with baobabrackctl why

Cause: the logs went to standard error with a blocking write, and a caller's id could be followed to its cause only by hand.

--- a/src/baobabrack/ctl/command.cpp
+++ b/src/baobabrack/ctl/command.cpp
@@ -6,6 +6,7 @@
 #include "baobabrack/ctl/list_commands.hpp"
 #include "baobabrack/ctl/request_commands.hpp"
 #include "baobabrack/ctl/ticket_commands.hpp"
+#include "baobabrack/ctl/why_command.hpp"
 
 namespace baobabrack::ctl {
 
@@ -26,6 +27,7 @@
     groups.push_back(std::make_unique<request_commands>());
     groups.push_back(std::make_unique<job_commands>());
     groups.push_back(std::make_unique<list_commands>());
+    groups.push_back(std::make_unique<why_command>());
     return groups;
 }
 
--- a/src/baobabrack/observe/json_log.cpp
+++ b/src/baobabrack/observe/json_log.cpp
@@ -186,12 +186,14 @@
         } else {
             line += "\"event\":\"message\",\"message\":" + json_quote(text) + "}";
         }
-        line += '\n';
-        std::fwrite(line.data(), 1, line.size(), stderr);
+        writer_.write(line, line_writer::clock::now());
     }
 
+    const line_writer::counts& totals() const { return writer_.totals(); }
+
 private:
     std::string suffix_;
+    line_writer writer_{{}};
 };
 
 json_logging::json_logging(options opts) : sink_(std::make_unique<sink>(opts)) {
@@ -205,6 +207,10 @@
     google::AddLogSink(sink_.get());
 }
 
+const line_writer::counts& json_logging::totals() const {
+    return sink_->totals();
+}
+
 json_logging::~json_logging() {
     google::RemoveLogSink(sink_.get());
     google::ShutdownGoogleLogging();
--- a/src/baobabrack/observe/json_log.hpp
+++ b/src/baobabrack/observe/json_log.hpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include "baobabrack/observe/line_writer.hpp"
+
 namespace baobabrack {
 
 enum class log_level { info, warning, error };
@@ -38,7 +40,8 @@
 /// @return `text` as a JSON string with its quotes; invalid UTF-8 bytes are replaced
 std::string json_quote(std::string_view text);
 
-/// Makes glog write JSON lines to standard error while it lives; nothing goes to disk.
+/// Makes glog write JSON lines to standard output while it lives; nothing goes to disk. Lines that
+/// the reader does not take at once are dropped and counted.
 class json_logging {
 public:
     struct options {
@@ -53,6 +56,9 @@
     json_logging& operator=(const json_logging&) = delete;
     ~json_logging();
 
+    /// @return what became of the lines
+    const line_writer::counts& totals() const;
+
 private:
     class sink;
     std::unique_ptr<sink> sink_;
--- /dev/null
+++ b/tests/ctl/why_command.tests.cpp
@@ -0,0 +1,20 @@
+#include "baobabrack/ctl/why_command.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace baobabrack::ctl;
+
+TEST_CASE("A job's story is told in order, from every process", "[why]") {
+    const std::vector<std::string> logs{
+        R"(  5.1 s2 {"time":"2026-01-01T00:00:02Z","id":"s2","event":"run-assigned","job":"j","run":1})"
+        "\n"
+        R"({"time":"2026-01-01T00:00:09Z","id":"s2","event":"run-assigned","job":"other"})",
+        R"({"time":"2026-01-01T00:00:01Z","id":"s1","event":"append-failed","key":"job/j","try":1})"
+        "\nnot JSON\n{\"time\":\n"};
+    const auto story = read_story(logs, "j");
+    REQUIRE(story.size() == 2);
+    CHECK(story[0].event == "append-failed");
+    CHECK(story[0].process == "s1");
+    CHECK(story[1].event == "run-assigned");
+    CHECK(story[1].fields == std::vector<std::string>{"run 1"});
+}
