--- a/src/baobabrack/workload/intake_writer.cpp
+++ b/src/baobabrack/workload/intake_writer.cpp
@@ -125,6 +125,10 @@
         out.mutable_workload_intake_reply()->set_offset(offset.get());
         network_.send(to, out);
     };
+    if (!store_answers_()) {
+        reply(wire::WorkloadIntakeReply::NOT_STORED, {});
+        return;
+    }
     const keyed_record record{.key = message.key(), .value = message.value()};
     log_.append(
         {.topic = options_.topic,
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -179,6 +179,8 @@
         bool stopping = false;
         /// Has been moved from a slow worker before.
         bool moved = false;
+        /// How often it has made room for others.
+        std::uint32_t preempted = 0;
         time_point assigned{};
         std::uint32_t percent = 0;
         /// Since when the percent has been what it is.
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -376,6 +376,7 @@
         *ref->extra = {.stored_run = ref->extra->stored_run,
                        .stopping = false,
                        .moved = ref->extra->moved,
+                       .preempted = ref->extra->preempted,
                        .assigned = now,
                        .percent = 0,
                        .percent_since = now};
--- a/src/baobabrack/workload/scheduler_room.cpp
+++ b/src/baobabrack/workload/scheduler_room.cpp
@@ -14,6 +14,9 @@
 constexpr duration stop_time = std::chrono::milliseconds{300};
 // A run that saves its work loses about this much of it, in seconds.
 constexpr double saved_loss = 0.5;
+// A run that has made room before counts as if it lost this much more, in seconds, each time:
+// otherwise what has just begun again has always the least to lose, and never ends.
+constexpr double repeat_loss = 1.0;
 // A job that is not entitled to room may throw away this many times its own work.
 constexpr double most_loss_share = 1;
 
@@ -115,7 +118,8 @@
             into.tasks.push_back(name);
             into.held[ref.task->place.host].add(ref.step->per_task);
             const auto elapsed = seconds(now - ref.extra->assigned);
-            const auto lost = ref.step->checkpoints ? std::min(elapsed, saved_loss) : elapsed;
+            const auto saved = ref.step->checkpoints ? std::min(elapsed, saved_loss) : elapsed;
+            const auto lost = saved + repeat_loss * ref.extra->preempted;
             into.loss += lost * work_per_second(ref.step->per_task);
             if (!ref.step->gang) {
                 victims.push_back(std::move(single));
@@ -132,6 +136,7 @@
     for (const auto& name : chosen.tasks) {
         if (const auto ref = find(name)) {
             ++counts_.preempted;
+            ++ref->extra->preempted;
             stop(name, *ref, "makes room for a job of priority 0");
         }
     }
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -197,6 +197,37 @@
           3);
 }
 
+// The load: urgent jobs come one after the other and always stop what began last.
+TEST_CASE("A task that has made room before is spared when another can", "[scheduler]") {
+    rig world;
+    world.config.workspaces.front().guaranteed = accelerator_count{64};
+    world.worker("h1");
+    world.worker("h2");
+    for (const auto* id : {"a", "b"}) {
+        auto job = job_of(id, 1, 8);
+        job.steps.front().estimated = 20s;
+        world.submit(job);
+        world.turn();
+    }
+    for (int turn = 0; turn < 3; ++turn) {
+        world.turn();
+    }
+    // Of the two, b began last and is stopped.
+    world.submit(urgent("first", 1, 8));
+    world.turn();
+    world.turn();
+    const auto b_host = world.running("h1", "first") == 1 ? "h1" : "h2";
+    REQUIRE(world.running(b_host, "b") == 0);
+    world.end_all(b_host, end_kind::done);
+    world.turn();
+    world.turn();
+    REQUIRE(world.running(b_host, "b") == 1);
+    world.submit(urgent("second", 1, 8));
+    world.turn();
+    world.turn();
+    CHECK(world.running(b_host, "b") == 1);
+}
+
 // The load: a job outside its workspace's guarantee comes upon work that is nearly done.
 TEST_CASE("Room beyond a guarantee throws away no more work than the job does", "[scheduler]") {
     rig world;
