--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -190,6 +190,8 @@
         job_spec spec;
         job_progress progress;
         bool cancelled = false;
+        /// A task has failed as often as it may; only running tasks are left to stop.
+        bool failed = false;
         time_point since{};
         /// By occurrence, step and task, as in `progress`.
         std::vector<std::vector<std::vector<task_extra>>> extra;
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -91,6 +91,7 @@
                                 !step_done(spec, occurrence.steps[step]));
         }
     }
+    job.failed = failed;
     const auto expected = std::max<std::uint32_t>(job.spec.occurrences, 1);
     all_done = all_done && job.progress.occurrences.size() == expected;
     if (!all_done && (job.cancelled || failed)) {
@@ -201,7 +202,7 @@
                                                                 wall_time wall_now) {
     std::vector<waiting_group> groups;
     for (auto& [id, job] : jobs_) {
-        if (job.cancelled) {
+        if (job.cancelled || job.failed) {
             continue;
         }
         const auto first = groups.size();
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -152,6 +152,24 @@
     CHECK(world.core.open_jobs() == 0);
 }
 
+TEST_CASE("Nothing of a job begins once it has failed", "[scheduler]") {
+    rig world;
+    world.worker("h1");
+    world.worker("h2");
+    auto job = job_of("j", 4, 8);
+    job.most_attempts = 1;
+    world.submit(job);
+    world.turn();
+    REQUIRE(world.running("h1") + world.running("h2") == 2);
+    const auto started = world.core.counts().started;
+    world.end_all("h1", end_kind::failed);
+    for (int turn = 0; turn < 5; ++turn) {
+        world.turn();
+    }
+    CHECK(world.core.counts().started == started);
+    CHECK(world.core.open_jobs() == 0);
+}
+
 TEST_CASE("A gang that loses a run stops the others before it runs again", "[scheduler]") {
     rig world;
     world.worker("h1");
