--- a/tests/workload/scheduler_node.tests.cpp
+++ b/tests/workload/scheduler_node.tests.cpp
@@ -191,3 +191,58 @@
     CHECK(world.run_until([&] { return world.runs_begun == 2; }, 9s));
     CHECK(world.violations.empty());
 }
+
+TEST_CASE("A submission that may be stored is never called refused", "[workload]") {
+    workload_world world(11, {.schedulers = 1});
+    world.run_for(2s);
+    world.store_link(0).now.lost_answers = 1;
+    std::optional<workload::intake_writer::receipt> receipt;
+    world.scheduler(0)->submit(job_of("j", 1, 1), 2500ms, [&](auto got) { receipt = got; });
+    REQUIRE(world.run_until([&] { return receipt.has_value(); }, 4s));
+    CHECK(receipt == workload::intake_writer::receipt::unknown);
+}
+
+TEST_CASE("A leader that has lost the store extends no lease for good", "[workload]") {
+    workload_world world(12, {.run_time = 60s});
+    world.run_for(12s);
+    REQUIRE(world.submit(job_of("j", 1, 8)));
+    REQUIRE(world.run_until([&] { return world.runs_begun == 1; }, 1s));
+    unsigned where = 0;
+    while (world.worker(where).running() == 0) {
+        ++where;
+    }
+    unsigned old_leader = 0;
+    while (!world.scheduler(old_leader)->leading()) {
+        ++old_leader;
+    }
+    // The guard hears only the old leader, and the others lead meanwhile.
+    for (unsigned at = 0; at < 3; ++at) {
+        if (at != old_leader) {
+            world.cut("s" + std::to_string(at), "h" + std::to_string(where));
+        }
+    }
+    world.store_link(old_leader).now.silent = true;
+    CHECK(world.run_until([&] { return world.runs_begun == 2; }, 15s));
+    CHECK(world.violations.empty());
+}
+
+TEST_CASE("A worker that was silent gets no longer lease before the leader knows it is back",
+          "[workload]") {
+    workload_world world(13, {.run_time = 60s});
+    world.run_for(12s);
+    REQUIRE(world.submit(job_of("j", 1, 8)));
+    REQUIRE(world.run_until([&] { return world.runs_begun == 1; }, 1s));
+    unsigned where = 0;
+    while (world.worker(where).running() == 0) {
+        ++where;
+    }
+    world.worker(where).now.silent = true;
+    world.run_for(3500ms);
+    for (unsigned at = 0; at < 3; ++at) {
+        world.cut("s" + std::to_string(at), "h" + std::to_string(where));
+    }
+    world.run_for(100ms);
+    world.worker(where).now.silent = false;
+    CHECK(world.run_until([&] { return world.runs_begun == 2; }, 12s));
+    CHECK(world.violations.empty());
+}
