--- a/scenarios/fakes/fake_log.hpp
+++ b/scenarios/fakes/fake_log.hpp
@@ -8,8 +8,8 @@
 #include <string>
 #include <utility>
 
-#include "baobabrack/platform/log_service.hpp"
 #include "baobabrack/runtime/runtime.hpp"
+#include "baobabrack/services/log_service.hpp"
 
 namespace baobabrack::fakes {
 
--- a/scenarios/fakes/fake_targets.hpp
+++ b/scenarios/fakes/fake_targets.hpp
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "baobabrack/platform.pb.h"
-#include "baobabrack/platform/target_service.hpp"
 #include "baobabrack/runtime/runtime.hpp"
+#include "baobabrack/services/target_service.hpp"
 
 namespace baobabrack::fakes {
 
--- a/scenarios/fakes/fake_workers.hpp
+++ b/scenarios/fakes/fake_workers.hpp
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "baobabrack/platform/worker_service.hpp"
+#include "baobabrack/services/worker_service.hpp"
 #include "fakes/fake_worker.hpp"
 
 namespace baobabrack::fakes {
--- a/scenarios/runner/state_process.hpp
+++ b/scenarios/runner/state_process.hpp
@@ -13,8 +13,8 @@
 #include "baobabrack/ledger/replica.hpp"
 #include "baobabrack/ledger/snapshot_writer.hpp"
 #include "baobabrack/ledger/ticket_state.hpp"
-#include "baobabrack/platform/log_service.hpp"
 #include "baobabrack/runtime/runtime.hpp"
+#include "baobabrack/services/log_service.hpp"
 
 namespace baobabrack::scenario {
 
--- a/src/baobabrack/daemon/scheduler_program.cpp
+++ b/src/baobabrack/daemon/scheduler_program.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <utility>
 
+#include "baobabrack/daemon/addresses.hpp"
 #include "baobabrack/daemon/metrics_page.hpp"
 #include "baobabrack/daemon/process_identity.hpp"
 #include "baobabrack/observe/json_log.hpp"
@@ -35,11 +36,6 @@
         std::chrono::duration<double, std::milli>(milliseconds));
 }
 
-http_endpoint to_endpoint(const std::string& text) {
-    const auto endpoint = parse_endpoint(text);
-    return endpoint ? endpoint.value() : http_endpoint{};
-}
-
 http_server::options server_at(const std::string& address, std::uint32_t most_connections) {
     const auto endpoint = to_endpoint(address);
     return {.host = endpoint.host,
@@ -49,15 +45,8 @@
 }
 
 std::vector<std::string> seed_endpoints(const wire::SchedulerSettings& settings) {
-    const auto colon = settings.zmq_endpoint().rfind(':');
-    std::vector<std::string> endpoints;
-    for (const auto& seed : settings.seeds()) {
-        if (const auto endpoint = parse_endpoint(seed)) {
-            endpoints.push_back("tcp://" + endpoint.value().host +
-                                settings.zmq_endpoint().substr(colon));
-        }
-    }
-    return endpoints;
+    const auto& own = settings.zmq_endpoint();
+    return to_zmq_endpoints(settings.seeds(), own.substr(own.rfind(':') + 1));
 }
 
 workload::scheduler::options decision_options(const wire::WorkloadBounds& bounds) {
--- a/src/baobabrack/daemon/worker_guard_program.cpp
+++ b/src/baobabrack/daemon/worker_guard_program.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 
+#include "baobabrack/daemon/addresses.hpp"
 #include "baobabrack/daemon/metrics_page.hpp"
 #include "baobabrack/daemon/process_identity.hpp"
 #include "baobabrack/observe/json_log.hpp"
@@ -22,25 +23,13 @@
 // Seeds may change without a signal.
 constexpr duration seeds_interval = 2s;
 
-http_endpoint to_endpoint(const std::string& text) {
-    const auto endpoint = parse_endpoint(text);
-    return endpoint ? endpoint.value() : http_endpoint{};
-}
-
 http_server::options server_at(const std::string& address) {
     const auto endpoint = to_endpoint(address);
     return {.host = endpoint.host, .port = endpoint.port, .max_connections = 64};
 }
 
 std::vector<std::string> seed_endpoints(const wire::WorkerGuardSettings& settings) {
-    std::vector<std::string> endpoints;
-    for (const auto& seed : settings.seeds()) {
-        if (const auto endpoint = parse_endpoint(seed)) {
-            endpoints.push_back("tcp://" + endpoint.value().host + ":" +
-                                std::to_string(settings.scheduler_zmq_port()));
-        }
-    }
-    return endpoints;
+    return to_zmq_endpoints(settings.seeds(), std::to_string(settings.scheduler_zmq_port()));
 }
 
 class worker_guard_program {
--- a/src/baobabrack/dispatch/caller_request.hpp
+++ b/src/baobabrack/dispatch/caller_request.hpp
@@ -8,7 +8,7 @@
 #include <variant>
 #include <vector>
 
-#include "baobabrack/platform/target_service.hpp"
+#include "baobabrack/services/target_service.hpp"
 #include "baobabrack/units/ids.hpp"
 #include "baobabrack/units/ran_state.hpp"
 #include "baobabrack/units/time.hpp"
--- a/src/baobabrack/gangs/gang_launch.hpp
+++ b/src/baobabrack/gangs/gang_launch.hpp
@@ -7,7 +7,7 @@
 
 #include "baobabrack/gangs/gang_context.hpp"
 #include "baobabrack/gangs/job.hpp"
-#include "baobabrack/platform/worker_service.hpp"
+#include "baobabrack/services/worker_service.hpp"
 
 namespace baobabrack {
 
--- a/src/baobabrack/gangs/worker_inventory.hpp
+++ b/src/baobabrack/gangs/worker_inventory.hpp
@@ -6,7 +6,7 @@
 #include <set>
 
 #include "baobabrack/gangs/gang_context.hpp"
-#include "baobabrack/platform/worker_service.hpp"
+#include "baobabrack/services/worker_service.hpp"
 #include "baobabrack/units/ids.hpp"
 
 namespace baobabrack {
--- a/src/baobabrack/gangs/worker_monitor.hpp
+++ b/src/baobabrack/gangs/worker_monitor.hpp
@@ -7,8 +7,8 @@
 
 #include "baobabrack/gangs/gang_context.hpp"
 #include "baobabrack/gangs/job.hpp"
-#include "baobabrack/platform/worker_service.hpp"
 #include "baobabrack/runtime/scoped_timer.hpp"
+#include "baobabrack/services/worker_service.hpp"
 #include "baobabrack/world/fleet.hpp"
 
 namespace baobabrack {
--- a/src/baobabrack/guard/guard_link.hpp
+++ b/src/baobabrack/guard/guard_link.hpp
@@ -6,8 +6,8 @@
 #include <unordered_map>
 
 #include "baobabrack/membership/peer_network.hpp"
-#include "baobabrack/platform/target_service.hpp"
 #include "baobabrack/runtime/runtime.hpp"
+#include "baobabrack/services/target_service.hpp"
 
 namespace baobabrack {
 
--- a/src/baobabrack/guard/guard_node.hpp
+++ b/src/baobabrack/guard/guard_node.hpp
@@ -8,9 +8,9 @@
 #include "baobabrack/guard/fence_table.hpp"
 #include "baobabrack/membership/peer_network.hpp"
 #include "baobabrack/metrics/registry.hpp"
-#include "baobabrack/platform/target_service.hpp"
 #include "baobabrack/runtime/runtime.hpp"
 #include "baobabrack/runtime/scoped_timer.hpp"
+#include "baobabrack/services/target_service.hpp"
 
 namespace baobabrack {
 
--- a/src/baobabrack/ledger/log_writer.hpp
+++ b/src/baobabrack/ledger/log_writer.hpp
@@ -11,8 +11,8 @@
 
 #include "baobabrack/ledger/proposer.hpp"
 #include "baobabrack/ledger/replica.hpp"
-#include "baobabrack/platform/log_service.hpp"
 #include "baobabrack/runtime/scoped_timer.hpp"
+#include "baobabrack/services/log_service.hpp"
 
 namespace baobabrack {
 
--- a/src/baobabrack/ledger/replica.hpp
+++ b/src/baobabrack/ledger/replica.hpp
@@ -12,8 +12,8 @@
 
 #include "baobabrack/ledger/replay.hpp"
 #include "baobabrack/ledger/snapshot_search.hpp"
-#include "baobabrack/platform/log_service.hpp"
 #include "baobabrack/runtime/scoped_timer.hpp"
+#include "baobabrack/services/log_service.hpp"
 
 namespace baobabrack {
 
--- a/src/baobabrack/ledger/snapshot_search.hpp
+++ b/src/baobabrack/ledger/snapshot_search.hpp
@@ -5,7 +5,7 @@
 #include <optional>
 
 #include "baobabrack/ledger/snapshot_chunks.hpp"
-#include "baobabrack/platform/log_service.hpp"
+#include "baobabrack/services/log_service.hpp"
 
 namespace baobabrack {
 
--- a/src/baobabrack/transport/http_log_service.hpp
+++ b/src/baobabrack/transport/http_log_service.hpp
@@ -1,7 +1,7 @@
 #ifndef BAOBABRACK_TRANSPORT_HTTP_LOG_SERVICE_HPP
 #define BAOBABRACK_TRANSPORT_HTTP_LOG_SERVICE_HPP
 
-#include "baobabrack/platform/log_service.hpp"
+#include "baobabrack/services/log_service.hpp"
 #include "baobabrack/transport/http_client.hpp"
 
 namespace baobabrack {
--- a/src/baobabrack/transport/http_target_service.hpp
+++ b/src/baobabrack/transport/http_target_service.hpp
@@ -5,7 +5,7 @@
 #include <optional>
 #include <utility>
 
-#include "baobabrack/platform/target_service.hpp"
+#include "baobabrack/services/target_service.hpp"
 #include "baobabrack/transport/http_client.hpp"
 
 namespace baobabrack {
--- a/src/baobabrack/transport/http_types.hpp
+++ b/src/baobabrack/transport/http_types.hpp
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "baobabrack/platform/target_service.hpp"
+#include "baobabrack/services/target_service.hpp"
 #include "baobabrack/units/failure.hpp"
 
 namespace baobabrack {
--- a/src/baobabrack/transport/http_worker_service.hpp
+++ b/src/baobabrack/transport/http_worker_service.hpp
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string>
 
-#include "baobabrack/platform/worker_service.hpp"
+#include "baobabrack/services/worker_service.hpp"
 #include "baobabrack/transport/http_client.hpp"
 
 namespace baobabrack {
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <tuple>
 
+#include "baobabrack/units/seconds.hpp"
 #include "baobabrack/workload/scheduler.hpp"
 
 namespace baobabrack::workload {
@@ -29,7 +30,7 @@
                 occurrence.steps[at].begin(), occurrence.steps[at].end(),
                 [](const task_progress& task) { return task.phase != task_phase::done; });
             work += static_cast<double>(left) * work_per_second(step.per_task) *
-                    std::chrono::duration<double>(step.estimated).count();
+                    to_seconds(step.estimated);
         }
     }
     return work;
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -1,6 +1,7 @@
 // What guards report, and the orders that answer them.
 #include <algorithm>
 
+#include "baobabrack/units/seconds.hpp"
 #include "baobabrack/workload/scheduler.hpp"
 
 namespace baobabrack::workload {
@@ -22,10 +23,6 @@
 // Older lists say nothing about progress.
 constexpr duration fresh_lists = std::chrono::milliseconds{1200};
 
-double seconds(duration span) {
-    return std::chrono::duration<double>(span).count();
-}
-
 }  // namespace
 
 void scheduler::take(const worker_report& report, time_point now) {
@@ -160,7 +157,7 @@
         extra.percent = run.percent;
         extra.percent_since = now;
         if (moved_before && waited > duration::zero() && in_fast_place(ref)) {
-            worker.speed.sample(seconds(expected) / seconds(waited), now);
+            worker.speed.sample(to_seconds(expected) / to_seconds(waited), now);
         }
     } else if (waited > patience(ref)) {
         worker.speed.stalled(now);
@@ -203,10 +200,10 @@
         return;
     }
     const auto left_share = 1.0 - static_cast<double>(ref.extra->percent) / whole_percent;
-    const auto whole = seconds(ref.step->estimated);
+    const auto whole = to_seconds(ref.step->estimated);
     const auto here = whole * left_share / std::max(worker.speed.value(now), 0.05);
     const auto elsewhere = ref.step->checkpoints ? whole * left_share : whole;
-    if (here < elsewhere * gain_factor + seconds(least_gain)) {
+    if (here < elsewhere * gain_factor + to_seconds(least_gain)) {
         return;
     }
     const auto sound = candidates_of(ref.job->spec.service, now, false);
--- a/src/baobabrack/workload/scheduler_room.cpp
+++ b/src/baobabrack/workload/scheduler_room.cpp
@@ -1,6 +1,7 @@
 // Room for groups that do not fit: what becomes free, and what is freed for them.
 #include <algorithm>
 
+#include "baobabrack/units/seconds.hpp"
 #include "baobabrack/workload/scheduler.hpp"
 
 namespace baobabrack::workload {
@@ -20,10 +21,6 @@
 // A job that is not entitled to room may throw away this many times its own work.
 constexpr double most_loss_share = 1;
 
-double seconds(duration span) {
-    return std::chrono::duration<double>(span).count();
-}
-
 }  // namespace
 
 time_point scheduler::expected_end(const task_ref& ref, time_point now) const {
@@ -89,7 +86,8 @@
     }
     const auto victims = victims_below(waiting.job->spec.priority, waiting.job->spec.service, now);
     auto plan = find_preemption(group, free, victims, limits);
-    const auto own_work = work_per_second(group.spec->per_task) * seconds(group.spec->estimated) *
+    const auto own_work = work_per_second(group.spec->per_task) *
+                          to_seconds(group.spec->estimated) *
                           static_cast<double>(group.tasks.size());
     if (!plan || (!waiting.entitled && plan->loss > own_work * most_loss_share)) {
         return false;
@@ -117,7 +115,7 @@
             auto& into = ref.step->gang ? gangs[name.step] : single;
             into.tasks.push_back(name);
             into.held[ref.task->place.host].add(ref.step->per_task);
-            const auto elapsed = seconds(now - ref.extra->assigned);
+            const auto elapsed = to_seconds(now - ref.extra->assigned);
             const auto saved = ref.step->checkpoints ? std::min(elapsed, saved_loss) : elapsed;
             const auto lost = saved + repeat_loss * ref.extra->preempted;
             into.loss += lost * work_per_second(ref.step->per_task);
