--- a/tests/workload/faults.tests.cpp
+++ b/tests/workload/faults.tests.cpp
@@ -114,7 +114,10 @@
                            [&](const std::string& id) { return world.completed(id); });
     };
     CHECK(world.run_until(all_done, 60s));
-    CHECK(world.violations == std::vector<std::string>{});
+    for (const auto& violation : world.violations) {
+        UNSCOPED_INFO(violation);
+    }
+    CHECK(world.violations.empty());
 }
 
 }  // namespace
