--- a/src/baobabrack/workload/front_desk.cpp
+++ b/src/baobabrack/workload/front_desk.cpp
@@ -40,7 +40,7 @@
         .field("steps", shapes)
         .field("occurrences", spec.occurrences)
         .field("chain_ms", to_ms(longest_chain(spec)))
-        .field("target_ms", to_ms(spec.target_completion))
+        .field("completion_target_ms", to_ms(spec.target_completion))
         .field("slack", spec.slack_factor);
 }
 
--- a/src/baobabrack/workload/placement.cpp
+++ b/src/baobabrack/workload/placement.cpp
@@ -140,8 +140,4 @@
     }
 }
 
-bool fits_when_empty(const task_group& group, const candidates& empty) {
-    return place(group, empty, {}).has_value();
-}
-
 }  // namespace baobabrack::workload
--- a/src/baobabrack/workload/placement.hpp
+++ b/src/baobabrack/workload/placement.hpp
@@ -17,7 +17,6 @@
     rack_id rack;
     std::vector<label> labels;
     resources left;
-    std::uint32_t capacity_accelerators = 0;
 };
 
 using candidates = std::vector<candidate>;
@@ -54,9 +53,6 @@
 /// Takes what a group holds from the candidates.
 void take(candidates& from, const task_group& group, const std::vector<placed_task>& places);
 
-/// @return whether a group could be placed if its hosts were empty
-bool fits_when_empty(const task_group& group, const candidates& empty);
-
 }  // namespace baobabrack::workload
 
 #endif
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -224,7 +224,7 @@
     void apply_end(const run_end& end, const worker_life& place, time_point now);
     void apply_refusal(const refused_run& refusal, const worker_life& place, time_point now);
     void apply_runs(const worker_report& report, time_point now);
-    void lose_runs(const worker_life& place, const std::string& why, time_point now);
+    void lose_runs(const worker_life& place, const std::string& why);
     void end_run(const task_name& name, const task_ref& ref, const std::string& checkpoint);
     void stop(const task_name& name, const task_ref& ref, const std::string& why);
     void watch_progress(const task_name& name, const run_report& run, const task_ref& ref,
@@ -234,14 +234,14 @@
     void move_from_slow(const task_name& name, const task_ref& ref, time_point now);
     template <typename Action>
     void for_each_task(open_job& job, Action action);
-    void settle_jobs(time_point now, wall_time wall_now);
+    void settle_jobs(wall_time wall_now);
     void settle(open_job& job, wall_time wall_now);
     void open_due_occurrences(open_job& job, wall_time wall_now);
     void stop_all(open_job& job);
     void stop_broken_gangs(open_job& job);
     bool anything_assigned(const open_job& job) const;
     void finish(open_job& job, job_phase phase, wall_time wall_now);
-    candidates candidates_of(const service_id& service, time_point now, bool empty) const;
+    candidates candidates_of(const service_id& service, time_point now) const;
     std::vector<waiting_group> waiting_groups(const directory& config, wall_time wall_now);
     void add_waiting_groups(open_job& job, std::vector<waiting_group>& into);
     void place_groups(std::vector<waiting_group>& groups, time_point now);
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -54,7 +54,7 @@
 
 void scheduler::decide(const directory* config, time_point now, wall_time wall_now) {
     expire_silent(now);
-    settle_jobs(now, wall_now);
+    settle_jobs(wall_now);
     if (config == nullptr) {
         return;
     }
@@ -62,7 +62,7 @@
     place_groups(groups, now);
 }
 
-void scheduler::settle_jobs(time_point /*now*/, wall_time wall_now) {
+void scheduler::settle_jobs(wall_time wall_now) {
     for (auto each = jobs_.begin(); each != jobs_.end();) {
         auto& job = each->second;
         settle(job, wall_now);
@@ -174,7 +174,7 @@
     add_note("job-" + std::string{to_string(phase)}, {.step = {.job = job.spec.id}}, {}, {});
 }
 
-candidates scheduler::candidates_of(const service_id& service, time_point now, bool empty) const {
+candidates scheduler::candidates_of(const service_id& service, time_point now) const {
     candidates sound;
     candidates slow;
     for (const auto& [host, worker] : workers_.all()) {
@@ -187,9 +187,7 @@
             into.push_back({.host = host,
                             .rack = worker.facts.rack,
                             .labels = worker.facts.labels,
-                            .left = empty ? worker.facts.capacity
-                                          : left_of(worker.facts.capacity, worker.used),
-                            .capacity_accelerators = worker.facts.capacity.accelerators.get()});
+                            .left = left_of(worker.facts.capacity, worker.used)});
         }
     }
     // Where most are slow, the estimates are wrong rather than the workers.
--- a/src/baobabrack/workload/scheduler_node.cpp
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -386,7 +386,7 @@
     orders.set_report_sequence(session.last_sequence);
     orders.set_report_sent_at_us(session.report_sent_at_us);
     const auto lease = proved_recently() ? options_.decisions.lease : duration::zero();
-    orders.set_lease_ms(static_cast<std::uint64_t>(to_ms(lease)));
+    orders.set_granted_ms(static_cast<std::uint64_t>(to_ms(lease)));
     to_wire(scheduler_->orders_for(session.report), orders);
     around_.network.send(host.get(), out);
 }
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -29,7 +29,7 @@
     const auto& life = report.facts.life;
     auto& worker = workers_.at(life.host);
     if (worker.facts.life != life) {
-        lose_runs(life, "a newer worker runs on the host", now);
+        lose_runs(life, "a newer worker runs on the host");
         worker.facts.life = life;
         worker.used = {};
         worker.record = {};
@@ -79,7 +79,7 @@
     auto& record = workers_.at(place.host).record;
     if (end.how == end_kind::done) {
         ++counts_.done;
-        record.succeeded(now);
+        record.succeeded();
         release(end.task, *ref);
         ref->task->phase = task_phase::done;
         ref->extra->stopping = false;
@@ -206,7 +206,7 @@
     if (here < elsewhere * gain_factor + to_seconds(least_gain)) {
         return;
     }
-    const auto sound = candidates_of(ref.job->spec.service, now, false);
+    const auto sound = candidates_of(ref.job->spec.service, now);
     const task_group group{.step = name.step, .spec = ref.step, .tasks = {name.index}};
     if (ref.job->spec.priority == 0 || place(group, sound, {})) {
         // Once: where it is slow again, its estimate is wrong.
@@ -216,7 +216,7 @@
 }
 
 // Gives up the runs on other lives of a host than the one given.
-void scheduler::lose_runs(const worker_life& place, const std::string& why, time_point /*now*/) {
+void scheduler::lose_runs(const worker_life& place, const std::string& why) {
     const auto found = runs_on_.find(place.host);
     if (found == runs_on_.end()) {
         return;
@@ -239,7 +239,7 @@
         if (!worker.gone && silent && now > worker.lapsed_after) {
             worker.gone = true;
             worker.used = {};
-            lose_runs({.host = host, .worker = {}, .life = {}}, "the lease has lapsed", now);
+            lose_runs({.host = host, .worker = {}, .life = {}}, "the lease has lapsed");
         }
     }
 }
--- a/src/baobabrack/workload/scheduler_room.cpp
+++ b/src/baobabrack/workload/scheduler_room.cpp
@@ -39,7 +39,7 @@
 }
 
 room_view scheduler::view_room(const service_id& service, time_point now) {
-    room_view room{.left = candidates_of(service, now, false), .releases = {}, .reserved = {}};
+    room_view room{.left = candidates_of(service, now), .releases = {}, .reserved = {}};
     for (auto& [id, job] : jobs_) {
         if (job.spec.service != service) {
             continue;
--- a/src/baobabrack/workload/worker_guard.cpp
+++ b/src/baobabrack/workload/worker_guard.cpp
@@ -225,12 +225,12 @@
     orders_seen_ = message.sequence();
     leader_endpoint_ = message.zmq_endpoint();
     // A leader that may not extend leases has lost the store, and another one may lead by now.
-    if (message.lease_ms() > 0) {
+    if (message.granted_ms() > 0) {
         orders_at_ = loop_.now();
     }
     const time_point sent{duration{static_cast<std::int64_t>(message.report_sent_at_us())}};
-    const auto lease = std::chrono::milliseconds{static_cast<std::int64_t>(message.lease_ms())};
-    if (message.lease_ms() > 0) {
+    const auto lease = std::chrono::milliseconds{static_cast<std::int64_t>(message.granted_ms())};
+    if (message.granted_ms() > 0) {
         granted_until_ = std::max(granted_until_, sent + lease);
     }
     prune_refusals(message.report_sequence());
--- a/src/baobabrack/workload/worker_table.cpp
+++ b/src/baobabrack/workload/worker_table.cpp
@@ -64,7 +64,7 @@
     return record;
 }
 
-void run_record::succeeded(time_point /*now*/) {
+void run_record::succeeded() {
     failed_jobs_.clear();
 }
 
--- a/src/baobabrack/workload/worker_table.hpp
+++ b/src/baobabrack/workload/worker_table.hpp
@@ -32,7 +32,7 @@
 /// How a worker's runs end, to tell a worker that fails what it starts from tasks that fail.
 class run_record {
 public:
-    void succeeded(time_point now);
+    void succeeded();
     void failed(const job_id& job, time_point now);
 
     /// @return whether nothing should be started there now: runs of several jobs failed and none
--- a/tests/workload/placement.tests.cpp
+++ b/tests/workload/placement.tests.cpp
@@ -21,8 +21,7 @@
     return {.host = host_id{id},
             .rack = rack_id{rack},
             .labels = {label{"a"}, label{rack}},
-            .left = room(left),
-            .capacity_accelerators = 8};
+            .left = room(left)};
 }
 
 step_spec step_of(std::uint32_t tasks, std::uint32_t accelerators) {
