--- a/tests/workload/scheduler_node.tests.cpp
+++ b/tests/workload/scheduler_node.tests.cpp
@@ -63,10 +63,7 @@
 TEST_CASE("Another scheduler leads within a second and a half of a leader's death", "[workload]") {
     workload_world world(4, {});
     world.run_for(2s);
-    unsigned dead = 0;
-    while (!world.scheduler(dead)->leading()) {
-        ++dead;
-    }
+    const auto dead = world.leading_scheduler();
     world.kill_scheduler(dead);
     CHECK(world.run_until([&] { return world.leader() != nullptr; }, 1500ms));
     REQUIRE(world.submit(job_of("j", 2, 1)));
@@ -94,10 +91,7 @@
 TEST_CASE("The others take the lead from a scheduler that the store refuses", "[workload]") {
     workload_world world(6, {});
     world.run_for(2s);
-    unsigned refused = 0;
-    while (!world.scheduler(refused)->leading()) {
-        ++refused;
-    }
+    const auto refused = world.leading_scheduler();
     world.store_link(refused).now.refuses = true;
     const auto other_leads = [&] {
         for (unsigned at = 0; at < 3; ++at) {
@@ -166,10 +160,7 @@
     world.run_for(2s);
     REQUIRE(world.submit(job_of("j", 1, 8)));
     REQUIRE(world.run_until([&] { return world.runs_begun == 1; }, 1s));
-    unsigned where = 0;
-    while (world.worker(where).running() == 0) {
-        ++where;
-    }
+    const auto where = world.busy_host();
     world.crash_worker(where);
     CHECK(world.run_until([&] { return world.completed("j"); }, 8s));
     CHECK(world.runs_begun == 2);
@@ -182,10 +173,7 @@
     world.run_for(12s);
     REQUIRE(world.submit(job_of("j", 1, 8)));
     REQUIRE(world.run_until([&] { return world.runs_begun == 1; }, 1s));
-    unsigned where = 0;
-    while (world.worker(where).running() == 0) {
-        ++where;
-    }
+    const auto where = world.busy_host();
     // Its guard lives on and reports.
     world.worker(where).now.silent = true;
     CHECK(world.run_until([&] { return world.runs_begun == 2; }, 9s));
@@ -207,14 +195,8 @@
     world.run_for(12s);
     REQUIRE(world.submit(job_of("j", 1, 8)));
     REQUIRE(world.run_until([&] { return world.runs_begun == 1; }, 1s));
-    unsigned where = 0;
-    while (world.worker(where).running() == 0) {
-        ++where;
-    }
-    unsigned old_leader = 0;
-    while (!world.scheduler(old_leader)->leading()) {
-        ++old_leader;
-    }
+    const auto where = world.busy_host();
+    const auto old_leader = world.leading_scheduler();
     // The guard hears only the old leader, and the others lead meanwhile.
     for (unsigned at = 0; at < 3; ++at) {
         if (at != old_leader) {
@@ -232,10 +214,7 @@
     world.run_for(12s);
     REQUIRE(world.submit(job_of("j", 1, 8)));
     REQUIRE(world.run_until([&] { return world.runs_begun == 1; }, 1s));
-    unsigned where = 0;
-    while (world.worker(where).running() == 0) {
-        ++where;
-    }
+    const auto where = world.busy_host();
     world.worker(where).now.silent = true;
     world.run_for(3500ms);
     for (unsigned at = 0; at < 3; ++at) {
--- a/tests/workload/workload_world.cpp
+++ b/tests/workload/workload_world.cpp
@@ -136,6 +136,22 @@
     return nullptr;
 }
 
+unsigned workload_world::leading_scheduler() {
+    unsigned at = 0;
+    while (!scheduler_lives(at) || !scheduler(at)->leading()) {
+        ++at;
+    }
+    return at;
+}
+
+unsigned workload_world::busy_host() {
+    unsigned at = 0;
+    while (worker(at).running() == 0) {
+        ++at;
+    }
+    return at;
+}
+
 bool workload_world::submit(const workload::job_spec& spec) {
     for (unsigned at = 0; at < schedulers_.size(); ++at) {
         if (scheduler_lives(at)) {
--- a/tests/workload/workload_world.hpp
+++ b/tests/workload/workload_world.hpp
@@ -74,6 +74,12 @@
     /// @return the scheduler that leads, or null
     workload::scheduler_node* leader();
 
+    /// @return the number of the scheduler that leads; there must be one
+    unsigned leading_scheduler();
+
+    /// @return the number of the first host that runs something; there must be one
+    unsigned busy_host();
+
     /// Submits by the first scheduler that lives.
     ///
     /// @return whether it was stored
