Move a worker's lease out of its guard

Cause: the guard had the lease's arithmetic, its suspension and the leader's leave between calls and reports, where only whole worlds could test them.

--- a/src/baobabrack/workload/worker_guard.cpp
+++ b/src/baobabrack/workload/worker_guard.cpp
@@ -98,7 +98,7 @@
         forget_worker();
         lists_at_ = loop_.now();
         // An earlier guard may have extended the lease of the worker that this one finds.
-        lease_given_ = first ? loop_.now() + options_.most_lease : time_point{};
+        lease_.begin(first ? loop_.now() + options_.most_lease : time_point{});
         log_event(log_level::info, "worker-announced")
             .field("worker", life.worker.get())
             .field("incarnation", life.life.get());
@@ -106,7 +106,7 @@
     const bool drains = announcement.facts.draining && (!known || !facts_->draining);
     facts_ = announcement.facts;
     announced_ = announcement.sequence;
-    if (clock_at_ == time_point{}) {
+    if (!lease_.knows_clock()) {
         take_clock(announcement.clock);
     }
     if (drains) {
@@ -138,10 +138,6 @@
     lists_known_ = false;
     ends_stored_ = 0;
     last_ends_reported_ = 0;
-    clock_at_ = {};
-    lease_given_ = {};
-    suspended_ = false;
-    resumed_by_report_ = 0;
     hold_taken_ = holds_sent_;
     hold_open_ = false;
 }
@@ -160,8 +156,8 @@
         lists.facts = *facts_;
         watch_worker();
         lists.lists_known = lists_known_;
-        lists.lease_suspended = suspended_;
-        lists.lease_left = std::max(duration::zero(), lease_given_ - loop_.now());
+        lists.lease_suspended = lease_.suspended();
+        lists.lease_left = lease_.left(loop_.now());
         lists.lists_age = loop_.now() - lists_at_;
         lists.runs = runs_;
         for (const auto& [key, one] : starts_) {
@@ -231,12 +227,10 @@
     const time_point sent{duration{static_cast<std::int64_t>(message.report_sent_at_us())}};
     const auto lease = std::chrono::milliseconds{static_cast<std::int64_t>(message.granted_ms())};
     if (message.granted_ms() > 0) {
-        granted_until_ = std::max(granted_until_, sent + lease);
+        lease_.grant(sent + lease);
     }
     prune_refusals(message.report_sequence());
-    if (resumed_by_report_ > 0 && message.report_sequence() >= resumed_by_report_) {
-        resumed_by_report_ = 0;
-    }
+    lease_.answered(message.report_sequence());
     const auto orders = from_wire(options_.host, message);
     if (!facts_ || orders.worker != facts_->life) {
         return;
@@ -300,10 +294,6 @@
         ended(key)) {
         return;
     }
-    const auto until = lease();
-    if (!until) {
-        return;
-    }
     if (facts_->draining) {
         refuse(key, "the worker is draining");
         return;
@@ -312,6 +302,10 @@
         refuse(key, "no room beside the runs that this guard has started");
         return;
     }
+    const auto until = lease_.extend(loop_.now());
+    if (!until) {
+        return;
+    }
     starts_[key] = {.run = run, .phase = start_phase::calling, .decided_by_hold = 0};
     log_event(log_level::info, "run-starting")
         .field("job", run.task.step.job.get())
@@ -408,38 +402,21 @@
     token_ = fencing_token{token_.get() + by};
 }
 
-// The worker's clock stood at least at this value when the answer came.
 void worker_guard::take_clock(const std::optional<worker_clock>& clock) {
     if (clock) {
-        clock_ = *clock;
-        clock_at_ = loop_.now();
+        lease_.take_clock(*clock, loop_.now());
     }
 }
 
-// Marks the worker as silent. From then on its lease is left to lapse, so that the leader can
-// count on the moment at which its runs are gone.
 void worker_guard::watch_worker() {
     const bool silent = loop_.now() - lists_at_ > worker_silence;
-    if (silent && !suspended_) {
+    if (silent && !lease_.suspended()) {
         log_event(log_level::warning, "worker-lost")
             .field("worker", facts_->life.worker.get())
             .field("lists_age_ms", to_ms(loop_.now() - lists_at_))
-            .field("lease_left_ms", to_ms(lease_given_ - loop_.now()));
-        suspended_ = true;
-        resumed_by_report_ = 0;
-    }
-}
-
-std::optional<worker_clock> worker_guard::lease() {
-    const auto left = granted_until_ - loop_.now();
-    if (clock_at_ == time_point{} || left <= duration::zero() || suspended_ ||
-        resumed_by_report_ > 0) {
-        return std::nullopt;
+            .field("lease_left_ms", to_ms(lease_.left(loop_.now())));
+        lease_.suspend();
     }
-    lease_given_ = std::max(lease_given_, granted_until_);
-    const auto span =
-        std::chrono::duration_cast<std::chrono::milliseconds>(granted_until_ - clock_at_);
-    return worker_clock{clock_.get() + span.count()};
 }
 
 void worker_guard::hold_soon() {
@@ -459,7 +436,7 @@
     worker_.hold({.worker = facts_->life,
                   .token = token_,
                   .ends_seen = ends_stored_,
-                  .lease = lease(),
+                  .lease = lease_.extend(loop_.now()),
                   .wait = wait,
                   .timeout = wait + call_timeout},
                  [this, number, life = facts_->life](const hold_reply& reply) {
@@ -503,10 +480,9 @@
     const auto runs_before = runs_.size();
     const bool known_before = lists_known_;
     lists_at_ = std::max(lists_at_, hold_sent_at_);
-    if (suspended_) {
+    if (lease_.suspended()) {
         log_event(log_level::info, "worker-regained").field("worker", facts_->life.worker.get());
-        suspended_ = false;
-        resumed_by_report_ = reports_sent_ + 1;
+        lease_.resume(reports_sent_ + 1);
         report();
     }
     runs_ = reply.runs;
--- a/src/baobabrack/workload/worker_guard.hpp
+++ b/src/baobabrack/workload/worker_guard.hpp
@@ -11,7 +11,7 @@
 #include "baobabrack/metrics/registry.hpp"
 #include "baobabrack/runtime/runtime.hpp"
 #include "baobabrack/runtime/scoped_timer.hpp"
-#include "baobabrack/workload/worker_port.hpp"
+#include "baobabrack/workload/worker_lease.hpp"
 
 namespace baobabrack::workload {
 
@@ -91,7 +91,6 @@
     void take_lists(std::uint64_t number, const hold_reply& reply);
     void raise_token(std::uint64_t by);
     void take_clock(const std::optional<worker_clock>& clock);
-    std::optional<worker_clock> lease();
     void watch_worker();
     bool has_room(const resources& needs) const;
     bool listed(const run_key& key) const;
@@ -106,19 +105,12 @@
 
     std::optional<worker_facts> facts_;
     std::uint64_t announced_ = 0;
-    worker_clock clock_;
-    time_point clock_at_{};
+    worker_lease lease_;
 
     std::string leader_endpoint_;
     std::uint64_t term_ = 0;
     std::uint64_t orders_seen_ = 0;
     time_point orders_at_{};
-    time_point granted_until_{};
-    // The longest lease that any call has given the worker, whether it was answered or not.
-    time_point lease_given_{};
-    // Set while the worker does not answer, and until orders answer this report afterwards.
-    bool suspended_ = false;
-    std::uint64_t resumed_by_report_ = 0;
     time_point lists_at_{};
     time_point hold_sent_at_{};
     fencing_token token_;
--- /dev/null
+++ b/src/baobabrack/workload/worker_lease.hpp
@@ -0,0 +1,62 @@
+#ifndef BAOBABRACK_WORKLOAD_WORKER_LEASE_HPP
+#define BAOBABRACK_WORKLOAD_WORKER_LEASE_HPP
+
+#include <cstdint>
+#include <optional>
+
+#include "baobabrack/units/time.hpp"
+#include "baobabrack/workload/worker_port.hpp"
+
+namespace baobabrack::workload {
+
+/// How long a worker's lease may be extended, and how long it can last: what the guard was granted
+/// by the clock of its host, turned into the worker's own clock.
+///
+/// While the worker is silent its lease is left to lapse, so that the leader can count on the
+/// moment at which its runs are gone; it is extended again only with the leader's leave.
+class worker_lease {
+public:
+    /// Begins for a life of the worker.
+    ///
+    /// @param lasts_until when a lease that an earlier guard may have given has lapsed
+    void begin(time_point lasts_until);
+
+    /// The worker's clock stood at least at this value when its answer came.
+    void take_clock(worker_clock clock, time_point now);
+
+    bool knows_clock() const { return clock_at_ != time_point{}; }
+
+    /// The leader allows the lease to last until then, by this host's clock.
+    void grant(time_point until);
+
+    /// @return what the lease may be extended to in a call that goes out now, or nothing
+    std::optional<worker_clock> extend(time_point now);
+
+    /// The worker does not answer any more.
+    void suspend();
+
+    /// The worker answers again.
+    ///
+    /// @param report the next report, which says so; orders that answer it give the leave
+    void resume(std::uint64_t report);
+
+    /// Orders have answered a report.
+    void answered(std::uint64_t report);
+
+    bool suspended() const { return suspended_; }
+
+    /// @return the longest that any call, answered or not, can have made the lease last
+    duration left(time_point now) const;
+
+private:
+    worker_clock clock_;
+    time_point clock_at_{};
+    time_point granted_until_{};
+    time_point given_until_{};
+    bool suspended_ = false;
+    std::uint64_t resumed_by_ = 0;
+};
+
+}  // namespace baobabrack::workload
+
+#endif
