Move what a guard knows of its runs out of it; ignore clocks of other lives

Reading it for the split showed that the answer to a stop was not compared with the life of the worker it was sent to, so a late one could set the lease by the clock of an earlier life.

Change: guarded_runs holds lists, starts and refusals; answers of another life are dropped and their clocks not taken.

--- a/scenarios/fakes/fake_guarded_worker.cpp
+++ b/scenarios/fakes/fake_guarded_worker.cpp
@@ -122,9 +122,11 @@
         }
     }
     std::erase_if(ends_, [&](const auto& end) { return end.number <= call.ends_seen; });
-    workload::hold_reply answer{.reply = reply(call_end::accepted), .runs = {}, .ends = ends_};
+    workload::hold_reply answer{.reply = reply(call_end::accepted),
+                                .lists = {.runs = {}, .ends = ends_}};
     for (const auto& [key, run] : runs_) {
-        answer.runs.push_back({.task = key.first, .run = key.second, .percent = percent(run)});
+        answer.lists.runs.push_back(
+            {.task = key.first, .run = key.second, .percent = percent(run)});
     }
     return answer;
 }
@@ -218,7 +220,7 @@
 void fake_worker_link::wait_for_end(const hold_call& call, time_point until,
                                     const std::function<void(workload::hold_reply)>& done) {
     const auto answer = worker_.hold(call);
-    const bool more = answer.reply.end == call_end::accepted && answer.ends.empty() &&
+    const bool more = answer.reply.end == call_end::accepted && answer.lists.ends.empty() &&
                       worker_.loop().now() < until;
     if (!more) {
         later(call_delay, [done, answer] { done(answer); });
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -38,6 +38,12 @@
     std::uint32_t percent = 0;
 };
 
+/// What a worker answers when it is asked for its runs.
+struct hold_lists {
+    std::vector<run_report> runs;
+    std::vector<run_end> ends;
+};
+
 /// A start that has not happened and cannot happen any more.
 struct refused_run {
     task_name task;
--- a/src/baobabrack/workload/worker_guard.cpp
+++ b/src/baobabrack/workload/worker_guard.cpp
@@ -107,7 +107,7 @@
     facts_ = announcement.facts;
     announced_ = announcement.sequence;
     if (!lease_.knows_clock()) {
-        take_clock(announcement.clock);
+        take_clock({.end = call_end::accepted, .clock = announcement.clock});
     }
     if (drains) {
         log_event(log_level::info, "worker-draining").field("worker", life.worker.get());
@@ -131,13 +131,8 @@
 // Nothing that was known of an earlier life holds for the one that runs now.
 void worker_guard::forget_worker() {
     runs_.clear();
-    ends_.clear();
-    starts_.clear();
-    refusals_.clear();
     stops_sent_.clear();
-    lists_known_ = false;
     ends_stored_ = 0;
-    last_ends_reported_ = 0;
     hold_taken_ = holds_sent_;
     hold_open_ = false;
 }
@@ -155,23 +150,10 @@
     if (facts_) {
         lists.facts = *facts_;
         watch_worker();
-        lists.lists_known = lists_known_;
         lists.lease_suspended = lease_.suspended();
         lists.lease_left = lease_.left(loop_.now());
         lists.lists_age = loop_.now() - lists_at_;
-        lists.runs = runs_;
-        for (const auto& [key, one] : starts_) {
-            if (!listed(key) && !ended(key)) {
-                lists.runs.push_back({.task = key.first, .run = key.second});
-            }
-        }
-        lists.ends = ends_;
-        for (auto& [key, refusal] : refusals_) {
-            lists.refusals.push_back(
-                {.task = key.first, .run = key.second, .reason = refusal.reason});
-            refusal.first_report =
-                refusal.first_report == 0 ? reports_sent_ + 1 : refusal.first_report;
-        }
+        runs_.tell(lists, reports_sent_ + 1);
     }
     wire::PeerMessage out;
     auto& message = *out.mutable_workload_report();
@@ -229,7 +211,7 @@
     if (message.granted_ms() > 0) {
         lease_.grant(sent + lease);
     }
-    prune_refusals(message.report_sequence());
+    runs_.answered(message.report_sequence());
     lease_.answered(message.report_sequence());
     const auto orders = from_wire(options_.host, message);
     if (!facts_ || orders.worker != facts_->life) {
@@ -254,51 +236,21 @@
     orders_seen_ = 0;
     token_ = fencing_token{std::max(token_.get() + next_token, message.token_base())};
     // The new leader needs lists from after every call that an earlier one has caused.
-    lists_known_ = false;
+    runs_.distrust_lists();
     hold_taken_ = holds_sent_;
     hold_open_ = false;
 }
 
-void worker_guard::prune_refusals(std::uint64_t answered) {
-    std::erase_if(refusals_, [&](const auto& one) {
-        return one.second.first_report != 0 && one.second.first_report <= answered;
-    });
-}
-
-bool worker_guard::listed(const run_key& key) const {
-    return std::any_of(runs_.begin(), runs_.end(), [&](const run_report& run) {
-        return run_key{run.task, run.run} == key;
-    });
-}
-
-bool worker_guard::ended(const run_key& key) const {
-    return std::any_of(ends_.begin(), ends_.end(), [&](const run_end& end) {
-        return run_key{end.task, end.run} == key;
-    });
-}
-
-// Counts what this guard has started; runs from before its own start are the leader's to count.
-bool worker_guard::has_room(const resources& needs) const {
-    resources used = needs;
-    for (const auto& [key, one] : starts_) {
-        if (!ended(key)) {
-            used.add(one.run.needs);
-        }
-    }
-    return facts_->capacity.holds(used);
-}
-
 void worker_guard::order_start(const wanted_run& run) {
     const run_key key{run.task, run.run};
-    if (!lists_known_ || starts_.contains(key) || refusals_.contains(key) || listed(key) ||
-        ended(key)) {
+    if (!runs_.lists_known() || !runs_.unheard_of(key)) {
         return;
     }
     if (facts_->draining) {
         refuse(key, "the worker is draining");
         return;
     }
-    if (!has_room(run.needs)) {
+    if (!runs_.fits(run.needs, facts_->capacity)) {
         refuse(key, "no room beside the runs that this guard has started");
         return;
     }
@@ -306,7 +258,7 @@
     if (!until) {
         return;
     }
-    starts_[key] = {.run = run, .phase = start_phase::calling, .decided_by_hold = 0};
+    runs_.begin(run);
     log_event(log_level::info, "run-starting")
         .field("job", run.task.step.job.get())
         .field("task", to_text(run.task))
@@ -325,11 +277,10 @@
 
 void worker_guard::start_answered(const run_key& key, const worker_life& life,
                                   const call_reply& reply) {
-    const auto found = starts_.find(key);
-    if (!facts_ || facts_->life != life || found == starts_.end()) {
+    if (!facts_ || facts_->life != life || !runs_.awaits(key)) {
         return;
     }
-    take_clock(reply.clock);
+    take_clock(reply);
     log_event(reply.end == call_end::accepted ? log_level::info : log_level::warning,
               "start-answered")
         .field("job", key.first.step.job.get())
@@ -342,18 +293,15 @@
         .add();
     switch (reply.end) {
         case call_end::accepted:
-            found->second.phase = start_phase::accepted;
-            found->second.decided_by_hold = holds_sent_ + 1;
+            runs_.settle(key, holds_sent_ + 1);
             break;
         case call_end::unanswered:
-            found->second.phase = start_phase::unclear;
             raise_token(next_token);
-            found->second.decided_by_hold = holds_sent_ + 1;
+            runs_.settle(key, holds_sent_ + 1);
             hold_open_ = false;
             hold_soon();
             break;
         default:
-            starts_.erase(found);
             refuse(key, std::string{to_string(reply.end)});
             break;
     }
@@ -362,9 +310,8 @@
 
 void worker_guard::order_stop(const unwanted_run& run) {
     const run_key key{run.task, run.run};
-    const bool known = listed(key) || starts_.contains(key);
-    if (!known) {
-        if (lists_known_ && !ended(key)) {
+    if (!runs_.has(key)) {
+        if (runs_.lists_known() && !runs_.ended(key)) {
             refuse(key, "it was never started");
         }
         return;
@@ -380,8 +327,11 @@
         .field("run", run.run.get())
         .field("term", term_);
     worker_.stop({.worker = facts_->life, .run = run, .token = token_, .timeout = call_timeout},
-                 [this](const call_reply& reply) {
-                     take_clock(reply.clock);
+                 [this, life = facts_->life](const call_reply& reply) {
+                     if (!facts_ || facts_->life != life) {
+                         return;
+                     }
+                     take_clock(reply);
                      if (reply.end == call_end::unanswered || reply.end == call_end::fenced) {
                          stops_sent_.clear();
                      }
@@ -394,7 +344,7 @@
         .field("task", to_text(key.first))
         .field("run", key.second.get())
         .field("reason", reason);
-    refusals_[key] = {.reason = reason, .first_report = 0};
+    runs_.refuse(key, reason);
     report();
 }
 
@@ -402,9 +352,10 @@
     token_ = fencing_token{token_.get() + by};
 }
 
-void worker_guard::take_clock(const std::optional<worker_clock>& clock) {
-    if (clock) {
-        lease_.take_clock(*clock, loop_.now());
+// Another life of the worker has another clock.
+void worker_guard::take_clock(const call_reply& reply) {
+    if (reply.clock && reply.end != call_end::other_worker) {
+        lease_.take_clock(*reply.clock, loop_.now());
     }
 }
 
@@ -432,7 +383,7 @@
     open_hold_ = number;
     hold_sent_at_ = loop_.now();
     watch_worker();
-    const auto wait = lists_known_ ? hold_wait : duration::zero();
+    const auto wait = runs_.lists_known() ? hold_wait : duration::zero();
     worker_.hold({.worker = facts_->life,
                   .token = token_,
                   .ends_seen = ends_stored_,
@@ -449,7 +400,7 @@
     if (!facts_ || facts_->life != life || number <= hold_taken_) {
         return;
     }
-    take_clock(reply.reply.clock);
+    take_clock(reply.reply);
     const bool newest = number == open_hold_;
     hold_open_ = hold_open_ && !newest;
     if (!newest && reply.reply.end != call_end::accepted) {
@@ -477,38 +428,18 @@
 }
 
 void worker_guard::take_lists(std::uint64_t number, const hold_reply& reply) {
-    const auto runs_before = runs_.size();
-    const bool known_before = lists_known_;
     lists_at_ = std::max(lists_at_, hold_sent_at_);
     if (lease_.suspended()) {
         log_event(log_level::info, "worker-regained").field("worker", facts_->life.worker.get());
         lease_.resume(reports_sent_ + 1);
         report();
     }
-    runs_ = reply.runs;
-    ends_ = reply.ends;
-    std::erase_if(ends_, [&](const run_end& end) { return end.number <= ends_stored_; });
-    lists_known_ = true;
-    bool changed = !known_before || runs_.size() != runs_before;
-    for (auto each = starts_.begin(); each != starts_.end();) {
-        const auto& [key, one] = *each;
-        const bool decided = one.phase != start_phase::calling && one.decided_by_hold <= number;
-        if (!decided || listed(key)) {
-            ++each;
-            continue;
-        }
-        const auto gone = key;
-        each = starts_.erase(each);
-        changed = true;
-        if (!ended(gone)) {
-            refuse(gone, "the worker does not have it, and the token is past its start");
-        }
+    const auto changes = runs_.take(number, reply.lists, ends_stored_);
+    for (const auto& key : changes.vanished) {
+        refuse(key, "the worker does not have it, and the token is past its start");
     }
-    std::erase_if(stops_sent_, [&](const auto& one) { return !listed(one.first); });
-    const auto last_end = ends_.empty() ? 0 : ends_.back().number;
-    changed = changed || last_end > last_ends_reported_;
-    last_ends_reported_ = std::max(last_ends_reported_, last_end);
-    if (changed) {
+    std::erase_if(stops_sent_, [&](const auto& one) { return !runs_.has(one.first); });
+    if (changes.news) {
         report();
     }
 }
--- a/src/baobabrack/workload/worker_guard.hpp
+++ b/src/baobabrack/workload/worker_guard.hpp
@@ -11,6 +11,7 @@
 #include "baobabrack/metrics/registry.hpp"
 #include "baobabrack/runtime/runtime.hpp"
 #include "baobabrack/runtime/scoped_timer.hpp"
+#include "baobabrack/workload/guarded_runs.hpp"
 #include "baobabrack/workload/worker_lease.hpp"
 
 namespace baobabrack::workload {
@@ -55,32 +56,12 @@
     void set_seeds(std::vector<std::string> seeds);
 
 private:
-    using run_key = std::pair<task_name, run_number>;
-    enum class start_phase {
-        calling,
-        /// The call was not answered; the next hold with a higher token tells.
-        unclear,
-        /// The worker has accepted it; a list may not show it yet.
-        accepted,
-    };
-    struct local_start {
-        wanted_run run;
-        start_phase phase = start_phase::calling;
-        /// Lists of holds sent before this one say nothing about the run.
-        std::uint64_t decided_by_hold = 0;
-    };
-    struct local_refusal {
-        std::string reason;
-        std::uint64_t first_report = 0;
-    };
-
     void beat();
     void report();
     void send_report();
     void take_message(const wire::PeerMessage& message);
     void take_orders(const wire::WorkloadOrders& message);
     void follow(const wire::WorkloadOrders& message);
-    void prune_refusals(std::uint64_t answered);
     void order_start(const wanted_run& run);
     void start_answered(const run_key& key, const worker_life& life, const call_reply& reply);
     void order_stop(const unwanted_run& run);
@@ -90,11 +71,8 @@
     void hold_answered(std::uint64_t number, const worker_life& life, const hold_reply& reply);
     void take_lists(std::uint64_t number, const hold_reply& reply);
     void raise_token(std::uint64_t by);
-    void take_clock(const std::optional<worker_clock>& clock);
+    void take_clock(const call_reply& reply);
     void watch_worker();
-    bool has_room(const resources& needs) const;
-    bool listed(const run_key& key) const;
-    bool ended(const run_key& key) const;
     void forget_worker();
 
     options options_;
@@ -116,18 +94,13 @@
     fencing_token token_;
     std::uint64_t ends_stored_ = 0;
 
-    std::vector<run_report> runs_;
-    std::vector<run_end> ends_;
-    std::map<run_key, local_start> starts_;
-    std::map<run_key, local_refusal> refusals_;
+    guarded_runs runs_;
     std::map<run_key, time_point> stops_sent_;
-    bool lists_known_ = false;
     std::uint64_t holds_sent_ = 0;
     std::uint64_t hold_taken_ = 0;
     bool hold_open_ = false;
     std::uint64_t open_hold_ = 0;
     std::uint64_t reports_sent_ = 0;
-    std::uint64_t last_ends_reported_ = 0;
 
     scoped_timer beat_timer_;
     scoped_timer report_timer_;
--- a/src/baobabrack/workload/worker_port.hpp
+++ b/src/baobabrack/workload/worker_port.hpp
@@ -49,8 +49,7 @@
 struct hold_reply {
     call_reply reply;
     /// Meaningful if the call was accepted.
-    std::vector<run_report> runs;
-    std::vector<run_end> ends;
+    hold_lists lists;
 };
 
 /// The worker on this host.
--- a/tests/adapter/decoders.tests.cpp
+++ b/tests/adapter/decoders.tests.cpp
@@ -72,13 +72,13 @@
         answer(200, R"({"ClockMs":9,"born":3,"Running":[["j.0.1.17",2,"c",41],["bad"],7],)"
                     R"("Finished":[[58,"j.0.1.9",1,"done",""],[59,"j.x",1,"done",""]]})"),
         incarnation{3});
-    REQUIRE(hold.runs.size() == 1);
-    CHECK(hold.runs[0].task.index == 17);
-    CHECK(hold.runs[0].checkpoint == "c");
-    CHECK(hold.runs[0].percent == 41);
-    REQUIRE(hold.ends.size() == 1);
-    CHECK(hold.ends[0].number == 58);
-    CHECK(hold.ends[0].how == workload::end_kind::done);
+    REQUIRE(hold.lists.runs.size() == 1);
+    CHECK(hold.lists.runs[0].task.index == 17);
+    CHECK(hold.lists.runs[0].checkpoint == "c");
+    CHECK(hold.lists.runs[0].percent == 41);
+    REQUIRE(hold.lists.ends.size() == 1);
+    CHECK(hold.lists.ends[0].number == 58);
+    CHECK(hold.lists.ends[0].how == workload::end_kind::done);
 }
 
 TEST_CASE("Lists of another life of the worker are not taken", "[adapter]") {
