Keep guards' sessions apart from the lead; hear guards whose clock was set back

Cause: scheduler_node had the guards' sessions beside the election and the stores. Reading it for the split showed that a guard's incarnation is its wall clock at its start: one that was restarted while its host's clock was set back was ignored until the next change of leader.

Change: guard_sessions, with tests of its own; a lower incarnation is taken once the process with the higher one has been silent for 1.2 s.

--- a/src/baobabrack/workload/scheduler_node.cpp
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -32,9 +32,6 @@
 // A new leader places nothing before the guards have reported, or for this long: it would stop
 // work on the few hosts that it knows although others are idle.
 constexpr duration settling_time = 250ms;
-// Fencing tokens: the term, then the guard's session under it, then the guard's own count.
-constexpr unsigned term_shift = 24;
-constexpr unsigned session_shift = 12;
 
 std::int64_t to_ms(duration span) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
@@ -184,8 +181,7 @@
     leader_endpoint_ = options_.zmq_endpoint;
     leader_resigned_ = false;
     lead_since_ = now;
-    sessions_.clear();
-    sessions_opened_ = 0;
+    sessions_.begin(term_.get());
     scheduler_ = std::make_unique<scheduler>(options_.decisions);
     const auto lease = options_.decisions.lease;
     scheduler_->load(book_, now,
@@ -213,7 +209,6 @@
 void scheduler_node::step_down(const std::string& why) {
     log_event(log_level::warning, "lead-lost").field("term", term_.get()).field("reason", why);
     scheduler_.reset();
-    sessions_.clear();
     decide_timer_.cancel();
     leader_seen_ = around_.loop.now();
     progress_.resume(writer_.end());
@@ -227,10 +222,7 @@
     if (around_.loop.now() - lead_since_ >= settling_time) {
         return true;
     }
-    return std::all_of(guards_.begin(), guards_.end(), [&](const std::string& guard) {
-        const auto found = sessions_.find(host_id{guard});
-        return found != sessions_.end() && found->second.report.lists_known;
-    });
+    return sessions_.all_know(guards_);
 }
 
 const directory* scheduler_node::usable_config() const {
@@ -325,32 +317,14 @@
         redirect(message);
         return;
     }
-    const host_id host{message.host()};
-    auto& session = sessions_[host];
-    if (session.guard_incarnation > message.guard_incarnation()) {
-        return;
-    }
-    if (session.guard_incarnation < message.guard_incarnation()) {
-        session = {};
-        session.guard_incarnation = message.guard_incarnation();
-        session.token_base = (term_.get() << term_shift) + (++sessions_opened_ << session_shift);
-        log_event(log_level::info, "guard-joined")
-            .field("host", message.host())
-            .field("worker", message.worker().id())
-            .field("token_base", session.token_base);
-    }
-    if (message.sequence() <= session.last_sequence) {
+    const auto* report = sessions_.take(message, around_.loop.now());
+    if (report == nullptr) {
         return;
     }
-    session.last_sequence = message.sequence();
-    session.report_sent_at_us = message.sent_at_us();
-    // What a guard knew under an earlier leader may be of runs that it was told about since.
-    session.report = from_wire(message);
-    session.report.lists_known = message.lists_known() && message.term() == term_.get();
     if (!message.worker().id().empty()) {
-        scheduler_->take(session.report, around_.loop.now());
+        scheduler_->take(*report, around_.loop.now());
     }
-    answers_due_.insert(host);
+    answers_due_.insert(host_id{message.host()});
     decide();
 }
 
@@ -370,24 +344,18 @@
 }
 
 void scheduler_node::send_orders(const host_id& host) {
-    const auto found = sessions_.find(host);
-    if (found == sessions_.end() || !leading()) {
+    const auto* report = sessions_.find(host);
+    if (report == nullptr || !leading()) {
         return;
     }
-    auto& session = found->second;
     wire::PeerMessage out;
     auto& orders = *out.mutable_workload_orders();
-    orders.set_term(term_.get());
-    orders.set_sequence(++session.orders_sent);
+    sessions_.address(host, orders);
     orders.set_scheduler(options_.id);
     orders.set_zmq_endpoint(options_.zmq_endpoint);
-    orders.set_guard_incarnation(session.guard_incarnation);
-    orders.set_token_base(session.token_base);
-    orders.set_report_sequence(session.last_sequence);
-    orders.set_report_sent_at_us(session.report_sent_at_us);
     const auto lease = proved_recently() ? options_.decisions.lease : duration::zero();
     orders.set_granted_ms(static_cast<std::uint64_t>(to_ms(lease)));
-    to_wire(scheduler_->orders_for(session.report), orders);
+    to_wire(scheduler_->orders_for(*report), orders);
     around_.network.send(host.get(), out);
 }
 
--- a/src/baobabrack/workload/scheduler_node.hpp
+++ b/src/baobabrack/workload/scheduler_node.hpp
@@ -11,6 +11,7 @@
 #include "baobabrack/membership/peer_network.hpp"
 #include "baobabrack/metrics/registry.hpp"
 #include "baobabrack/workload/directory_source.hpp"
+#include "baobabrack/workload/guard_sessions.hpp"
 #include "baobabrack/workload/intake_writer.hpp"
 #include "baobabrack/workload/peer_pings.hpp"
 #include "baobabrack/workload/scheduler.hpp"
@@ -81,14 +82,6 @@
     void resign();
 
 private:
-    struct guard_session {
-        std::uint64_t guard_incarnation = 0;
-        std::uint64_t last_sequence = 0;
-        std::uint64_t token_base = 0;
-        std::uint64_t orders_sent = 0;
-        std::uint64_t report_sent_at_us = 0;
-        worker_report report;
-    };
     void tick();
     void take_intake(const keyed_entry& entry);
     void take_progress(const keyed_entry& entry);
@@ -122,12 +115,11 @@
     peer_pings pings_;
     intake_writer intake_writer_;
     std::unique_ptr<scheduler> scheduler_;
-    std::map<host_id, guard_session> sessions_;
+    guard_sessions sessions_;
     // Guards whose reports have not been answered.
     std::set<host_id> answers_due_;
     // Every guard that was heard, also under another leader.
     std::set<std::string> guards_;
-    std::uint64_t sessions_opened_ = 0;
     std::uint64_t batches_ = 0;
     log_offset term_;
     bool claiming_ = false;
--- /dev/null
+++ b/tests/workload/guard_sessions.tests.cpp
@@ -0,0 +1,73 @@
+#include "baobabrack/workload/guard_sessions.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "baobabrack/workload.pb.h"
+
+using namespace baobabrack;
+using namespace baobabrack::workload;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point now{100s};
+
+wire::WorkloadReport report_of(std::uint64_t incarnation, std::uint64_t sequence,
+                               std::uint64_t term = 5) {
+    wire::WorkloadReport message;
+    message.set_host("h");
+    message.set_guard_incarnation(incarnation);
+    message.set_sequence(sequence);
+    message.set_term(term);
+    message.set_lists_known(true);
+    return message;
+}
+
+std::uint64_t token_of(guard_sessions& sessions) {
+    wire::WorkloadOrders orders;
+    sessions.address(host_id{"h"}, orders);
+    return orders.token_base();
+}
+
+}  // namespace
+
+TEST_CASE("A report that was overtaken is dropped", "[sessions]") {
+    guard_sessions sessions;
+    sessions.begin(5);
+    CHECK(sessions.take(report_of(7, 2), now) != nullptr);
+    CHECK(sessions.take(report_of(7, 1), now) == nullptr);
+    CHECK(sessions.take(report_of(6, 9), now) == nullptr);
+}
+
+TEST_CASE("Tokens grow from guard to guard and from term to term", "[sessions]") {
+    guard_sessions sessions;
+    sessions.begin(5);
+    sessions.take(report_of(7, 1), now);
+    const auto first = token_of(sessions);
+    sessions.take(report_of(8, 1), now);
+    const auto second = token_of(sessions);
+    CHECK(second > first);
+    sessions.begin(6);
+    sessions.take(report_of(7, 1), now);
+    CHECK(token_of(sessions) > second);
+}
+
+TEST_CASE("A guard whose host's clock was set back is heard once the earlier one is silent",
+          "[sessions]") {
+    guard_sessions sessions;
+    sessions.begin(5);
+    sessions.take(report_of(9000, 1), now);
+    CHECK(sessions.take(report_of(6600, 1), now + 500ms) == nullptr);
+    CHECK(sessions.take(report_of(6600, 3), now + 1500ms) != nullptr);
+}
+
+TEST_CASE("Lists from under an earlier leader are not taken for known", "[sessions]") {
+    guard_sessions sessions;
+    sessions.begin(5);
+    REQUIRE(sessions.take(report_of(7, 1, 4), now) != nullptr);
+    CHECK_FALSE(sessions.find(host_id{"h"})->lists_known);
+    CHECK_FALSE(sessions.all_know({"h"}));
+    sessions.take(report_of(7, 2, 5), now);
+    CHECK(sessions.all_know({"h"}));
+    CHECK_FALSE(sessions.all_know({"h", "other"}));
+}
