Believe a worker's life only once it has answered; hear one whose clock was set back

Cause, from reading: a restarted guard takes whatever announcement comes first, also one that was held up since before the worker's last crash; the leader then gave up the runs of the life that goes on, which may run them twice. And a worker that was restarted while its host's clock was set back was never heard again. Both tests failed first.

Change: the leader gives runs up for another life only when that life has answered its guard; a guard believes an announcement that seems older once the known life is silent.

--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -29,6 +29,10 @@
     const auto& life = report.facts.life;
     auto& worker = workers_.at(life.host);
     if (worker.facts.life != life) {
+        // Only a life that has answered its guard is surely the one that runs now.
+        if (!report.lists_known && !runs_on_[life.host].empty()) {
+            return;
+        }
         lose_runs(life, "a newer worker runs on the host");
         worker.facts.life = life;
         worker.used = {};
--- a/src/baobabrack/workload/worker_guard.cpp
+++ b/src/baobabrack/workload/worker_guard.cpp
@@ -87,7 +87,9 @@
 bool worker_guard::announce(const worker_announcement& announcement) {
     const auto& life = announcement.facts.life;
     const bool known = facts_ && facts_->life == life;
-    if (facts_ && !known && life.life < facts_->life.life) {
+    // An announcement that was held up may name a life that is over. One that seems older is
+    // believed only when the known one is silent, as the host's clock may have been set back.
+    if (facts_ && !known && life.life < facts_->life.life && !lease_.suspended()) {
         return false;
     }
     if (known && announcement.sequence <= announced_) {
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -316,6 +316,24 @@
     CHECK(world.running("h2", "j") == 1);
 }
 
+// The load: a restarted guard hears an announcement that was sent before its worker's last crash.
+TEST_CASE("Runs are not given up for a life of the worker that has not answered", "[scheduler]") {
+    rig world;
+    world.worker("h1");
+    world.submit(job_of("j", 1, 8));
+    world.turn();
+    REQUIRE(world.running("h1", "j") == 1);
+    auto other = world.reports["h1"];
+    other.facts.life.life = incarnation{9};
+    other.runs.clear();
+    other.lists_known = false;
+    world.core.take(other, world.now);
+    CHECK(world.core.counts().lost == 0);
+    other.lists_known = true;
+    world.core.take(other, world.now);
+    CHECK(world.core.counts().lost == 1);
+}
+
 TEST_CASE("An occurrence does not begin before it is due", "[scheduler]") {
     rig world;
     world.worker("h1");
--- a/tests/workload/worker_guard.tests.cpp
+++ b/tests/workload/worker_guard.tests.cpp
@@ -218,3 +218,17 @@
     REQUIRE(world.worker.holds.back().call.lease);
     CHECK(world.worker.holds.back().call.lease->get() < 10'000);
 }
+
+TEST_CASE("A worker whose host's clock was set back is heard once the earlier life is silent",
+          "[guard]") {
+    rig world;
+    world.announce(9000, 1000);
+    world.order({}, 9000);
+    world.answer_hold({}, 1010);
+    world.announce(6600, 50);
+    CHECK(world.worker.holds.back().call.worker.life == incarnation{9000});
+    world.loop.run_for(2s);
+    world.announce(6600, 2050);
+    world.loop.run_for(600ms);
+    CHECK(world.worker.holds.back().call.worker.life == incarnation{6600});
+}
