--- a/tests/workload/faults.tests.cpp
+++ b/tests/workload/faults.tests.cpp
@@ -19,7 +19,7 @@
     };
     const auto scheduler = pick(schedulers);
     const auto host = pick(hosts);
-    switch (pick(12)) {
+    switch (pick(14)) {
         case 0:
             world.kill_scheduler(scheduler);
             break;
@@ -56,6 +56,15 @@
         case 9:
             world.cut("s" + std::to_string(scheduler), "s" + std::to_string(pick(schedulers)));
             break;
+        case 12:
+            world.announce_earlier_life(host);
+            break;
+        case 13:
+            // A new guard hears the late announcement first.
+            world.kill_guard(host);
+            world.start_guard(host);
+            world.announce_earlier_life(host);
+            break;
         case 10:
             world.store.forget_history();
             break;
@@ -123,7 +132,7 @@
 }  // namespace
 
 TEST_CASE("Random faults break no promise, and every accepted job ends", "[workload][faults]") {
-    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
         play(seed);
     }
 }
--- a/tests/workload/workload_world.cpp
+++ b/tests/workload/workload_world.cpp
@@ -106,6 +106,16 @@
     hosts_[at].worker->crash();
 }
 
+void workload_world::announce_earlier_life(unsigned at) {
+    auto& one = hosts_[at];
+    auto facts = one.worker->facts();
+    facts.life.life = incarnation{facts.life.life.get() - 1};
+    if (one.guard != nullptr) {
+        one.guard->announce(
+            {.facts = facts, .sequence = 1'000'000, .clock = workload::worker_clock{900'000}});
+    }
+}
+
 void workload_world::announce(unsigned at) {
     auto& one = hosts_[at];
     if (one.guard != nullptr && !one.worker->now.silent) {
--- a/tests/workload/workload_world.hpp
+++ b/tests/workload/workload_world.hpp
@@ -63,6 +63,9 @@
     void start_guard(unsigned at);
     void crash_worker(unsigned at);
 
+    /// An announcement of the worker's earlier life arrives late.
+    void announce_earlier_life(unsigned at);
+
     workload::scheduler_node* scheduler(unsigned at) { return schedulers_[at].node.get(); }
     fakes::fake_store_link& store_link(unsigned at) { return *schedulers_[at].link; }
     fakes::fake_guarded_worker& worker(unsigned at) { return *hosts_[at].worker; }
