--- a/src/baobabrack/workload/scheduler_node.cpp
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -382,6 +382,10 @@
             event.field("reason", note.detail);
         }
         event.field("term", term_.get());
+        if (!proved_recently()) {
+            // Another scheduler may lead by now; then nothing of this is stored.
+            event.field("proof_age_ms", to_ms(around_.loop.now() - writer_.proved()));
+        }
         if (const auto* config = around_.config.current()) {
             event.field("config_version", config->version.get());
         }
