--- a/src/baobabrack/workload/scheduler_node.cpp
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -17,6 +17,8 @@
 constexpr std::string_view leader_key = "leader";
 
 constexpr duration tick_interval = 100ms;
+// Metrics are read every few seconds.
+constexpr duration metrics_interval = 1s;
 // A leader stores something this often, which proves that it still leads.
 constexpr duration proof_interval = 700ms;
 // A leader extends leases only this long after the last proof; a new one counts on it.
@@ -86,7 +88,9 @@
     } else {
         consider_claim();
     }
-    update_metrics();
+    if (around_.loop.now() - metrics_updated_ >= metrics_interval) {
+        update_metrics();
+    }
 }
 
 void scheduler_node::take_intake(const keyed_entry& entry) {
@@ -99,7 +103,14 @@
     if (job->cancelled) {
         scheduler_->cancel(id);
     }
-    decide_timer_.arm(duration::zero(), [this] { decide(); });
+    decide_soon();
+}
+
+// One decision for everything that comes in one turn of the loop.
+void scheduler_node::decide_soon() {
+    if (!decide_timer_.armed()) {
+        decide_timer_.arm(duration::zero(), [this] { decide(); });
+    }
 }
 
 void scheduler_node::take_progress(const keyed_entry& entry) {
@@ -325,7 +336,7 @@
         scheduler_->take(*report, around_.loop.now());
     }
     answers_due_.insert(host_id{message.host()});
-    decide();
+    decide_soon();
 }
 
 void scheduler_node::redirect(const wire::WorkloadReport& message) {
@@ -393,6 +404,7 @@
 }
 
 void scheduler_node::update_metrics() {
+    metrics_updated_ = around_.loop.now();
     auto& metrics = around_.metrics;
     metrics.get_gauge("baobabrack_leading", "Whether this scheduler leads").set(leading() ? 1 : 0);
     metrics.get_gauge("baobabrack_jobs", "Jobs that are known")
--- a/src/baobabrack/workload/scheduler_node.hpp
+++ b/src/baobabrack/workload/scheduler_node.hpp
@@ -91,6 +91,7 @@
     void lead();
     void step_down(const std::string& why);
     void decide();
+    void decide_soon();
     void flush();
     void write_batch(progress_batch batch);
     keyed_record leader_record(bool resigned);
@@ -133,6 +134,7 @@
     time_point leader_seen_{};
     duration claim_delay_{};
     time_point lead_since_{};
+    time_point metrics_updated_{};
     scoped_timer tick_timer_;
     scoped_timer decide_timer_;
 };
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -34,6 +34,8 @@
             return;
         }
         lose_runs(life, "a newer worker runs on the host");
+        ends_taken_.erase(worker.facts.life);
+        ends_stored_.erase(worker.facts.life);
         worker.facts.life = life;
         worker.used = {};
         worker.record = {};
