Drop ended jobs after their time; keep records of repeated jobs small

Cause: a reading of the change against its design.

Change: the leader drops ended jobs, the submission before the progress; done occurrences are stored as such; 5,000 tasks an occurrence and 10,000 occurrences at most.

--- a/src/baobabrack/daemon/scheduler_program.cpp
+++ b/src/baobabrack/daemon/scheduler_program.cpp
@@ -64,6 +64,7 @@
             .decisions = decision_options(bounds),
             .config_limit = from_ms(bounds.config_apply_ms()),
             .answer_limit = from_ms(bounds.visible_ms() * revocation_share),
+            .status_retention = from_ms(bounds.status_retention_s() * 1000),
             .seeds = seed_endpoints(settings.scheduler())};
 }
 
--- a/src/baobabrack/settings/settings_check.cpp
+++ b/src/baobabrack/settings/settings_check.cpp
@@ -117,6 +117,7 @@
     check_positive(found, path + ".grace_period_s", bounds.grace_period_s());
     check_positive(found, path + ".most_lease_ms", bounds.most_lease_ms());
     check_positive(found, path + ".visible_ms", bounds.visible_ms());
+    check_positive(found, path + ".status_retention_s", bounds.status_retention_s());
 }
 
 void check_scheduler(problems& found, const wire::SchedulerSettings& scheduler) {
--- a/src/baobabrack/workload/job_book.cpp
+++ b/src/baobabrack/workload/job_book.cpp
@@ -88,6 +88,23 @@
     }
 }
 
+std::vector<job_id> job_book::ended_before(wall_time moment) const {
+    std::vector<job_id> found;
+    for (const auto& [id, job] : jobs_) {
+        if (has_ended(job.progress.phase) && job.progress.ended < moment) {
+            found.push_back(id);
+        }
+    }
+    for (const auto& [id, value] : early_progress_) {
+        wire::WorkloadProgress record;
+        const bool ended = parse(record, value) && record.ended_unix_ms() > 0;
+        if (ended && wall_time{std::chrono::milliseconds{record.ended_unix_ms()}} < moment) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
 void job_book::settle_progress(stored_job& job, std::string_view value) {
     wire::WorkloadProgress record;
     if (value.empty()) {
--- a/src/baobabrack/workload/job_book.hpp
+++ b/src/baobabrack/workload/job_book.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "baobabrack/workload/job_progress.hpp"
 
@@ -42,6 +43,9 @@
     /// @return accepted jobs of a queue without a due time of which no task has been started
     std::uint64_t pending(const queue_id& queue) const;
 
+    /// @return jobs that ended before a moment, and ended progress of which the job is gone
+    std::vector<job_id> ended_before(wall_time moment) const;
+
     const std::map<job_id, stored_job>& jobs() const { return jobs_; }
 
     /// @return records that could not be understood
--- a/src/baobabrack/workload/job_progress.cpp
+++ b/src/baobabrack/workload/job_progress.cpp
@@ -75,6 +75,14 @@
     record.set_checkpoint(task.checkpoint);
 }
 
+void mark_done(occurrence_progress& occurrence) {
+    for (auto& tasks : occurrence.steps) {
+        for (auto& task : tasks) {
+            task.phase = task_phase::done;
+        }
+    }
+}
+
 }  // namespace
 
 std::string_view to_string(job_phase phase) {
@@ -116,12 +124,25 @@
     return true;
 }
 
+bool anything_assigned(const occurrence_progress& progress) {
+    const auto is_assigned = [](const task_progress& task) {
+        return task.phase == task_phase::assigned;
+    };
+    return std::any_of(progress.steps.begin(), progress.steps.end(), [&](const auto& tasks) {
+        return std::any_of(tasks.begin(), tasks.end(), is_assigned);
+    });
+}
+
 job_progress from_wire(const job_spec& spec, const wire::WorkloadProgress& record) {
     job_progress progress;
     progress.phase = static_cast<job_phase>(record.state());
     progress.ended = wall_time{milliseconds{record.ended_unix_ms()}};
     for (const auto& from : record.occurrences()) {
         auto occurrence = new_occurrence(spec, from.number());
+        occurrence.done = from.done();
+        if (from.done()) {
+            mark_done(occurrence);
+        }
         const auto steps = std::min<std::size_t>(occurrence.steps.size(),
                                                  static_cast<std::size_t>(from.steps_size()));
         for (std::size_t at = 0; at < steps; ++at) {
@@ -149,6 +170,10 @@
     for (const auto& occurrence : progress.occurrences) {
         auto& into = *record.add_occurrences();
         into.set_number(occurrence.number);
+        into.set_done(occurrence.done);
+        if (occurrence.done) {
+            continue;
+        }
         for (const auto& step : occurrence.steps) {
             auto& tasks = *into.add_steps();
             for (const auto& task : step) {
--- a/src/baobabrack/workload/job_progress.hpp
+++ b/src/baobabrack/workload/job_progress.hpp
@@ -43,6 +43,8 @@
 
 struct occurrence_progress {
     std::uint32_t number = 0;
+    /// Every step is done and nothing runs any more; records keep no tasks of it.
+    bool done = false;
     /// By step, then by task index.
     std::vector<std::vector<task_progress>> steps;
 };
@@ -62,6 +64,9 @@
 /// @return whether every step of the occurrence is done
 bool occurrence_done(const job_spec& spec, const occurrence_progress& progress);
 
+/// @return whether a run of the occurrence may be going on
+bool anything_assigned(const occurrence_progress& progress);
+
 /// @return progress with a shape that fits the job; tasks that the record lacks are waiting
 job_progress from_wire(const job_spec& spec, const wire::WorkloadProgress& record);
 wire::WorkloadProgress to_wire(const job_progress& progress);
--- a/src/baobabrack/workload/job_spec.cpp
+++ b/src/baobabrack/workload/job_spec.cpp
@@ -81,6 +81,10 @@
         return invalid("the job has " + std::to_string(tasks) + " tasks",
                        "split it into jobs of at most " + std::to_string(most_tasks_per_job));
     }
+    if (spec.occurrences > most_occurrences) {
+        return invalid("the job is repeated " + std::to_string(spec.occurrences) + " times",
+                       "submit it anew after at most " + std::to_string(most_occurrences));
+    }
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/src/baobabrack/workload/job_spec.hpp
+++ b/src/baobabrack/workload/job_spec.hpp
@@ -59,8 +59,11 @@
     duration interval{};
 };
 
-/// Most tasks of a job, over all steps and occurrences that may be open at once.
-constexpr std::uint64_t most_tasks_per_job = 20'000;
+/// Most tasks of one occurrence of a job: its progress has to fit into one record of the store
+/// (256 KiB), at up to 50 bytes a task.
+constexpr std::uint64_t most_tasks_per_job = 5'000;
+/// Most occurrences of a job; each one takes some bytes of its progress, also when it is done.
+constexpr std::uint32_t most_occurrences = 10'000;
 
 /// @return nothing, or what is wrong with the job and how to mend it
 result<void> check(const job_spec& spec);
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -287,6 +287,9 @@
 void scheduler::for_each_task(open_job& job, Action action) {
     auto& occurrences = job.progress.occurrences;
     for (std::size_t at = 0; at < occurrences.size(); ++at) {
+        if (occurrences[at].done) {
+            continue;
+        }
         for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
             auto& tasks = occurrences[at].steps[step];
             for (std::size_t index = 0; index < tasks.size(); ++index) {
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -79,9 +79,13 @@
     open_due_occurrences(job, wall_now);
     bool failed = false;
     bool all_done = !job.progress.occurrences.empty();
-    for (std::size_t at = 0; at < job.progress.occurrences.size(); ++at) {
-        const auto& occurrence = job.progress.occurrences[at];
-        all_done = all_done && occurrence_done(job.spec, occurrence);
+    for (auto& occurrence : job.progress.occurrences) {
+        if (occurrence.done) {
+            continue;
+        }
+        const bool finished = occurrence_done(job.spec, occurrence);
+        occurrence.done = finished && !workload::anything_assigned(occurrence);
+        all_done = all_done && finished;
         for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
             const auto& spec = job.spec.steps[step];
             std::uint32_t failures = 0;
@@ -154,17 +158,10 @@
 }
 
 bool scheduler::anything_assigned(const open_job& job) const {
-    for (const auto& occurrence : job.progress.occurrences) {
-        for (const auto& tasks : occurrence.steps) {
-            const auto assigned = [](const task_progress& task) {
-                return task.phase == task_phase::assigned;
-            };
-            if (std::any_of(tasks.begin(), tasks.end(), assigned)) {
-                return true;
-            }
-        }
-    }
-    return false;
+    const auto& occurrences = job.progress.occurrences;
+    return std::any_of(occurrences.begin(), occurrences.end(), [](const occurrence_progress& one) {
+        return !one.done && workload::anything_assigned(one);
+    });
 }
 
 void scheduler::finish(open_job& job, job_phase phase, wall_time wall_now) {
@@ -221,8 +218,10 @@
 }
 
 void scheduler::add_waiting_groups(open_job& job, std::vector<waiting_group>& into) {
-    for (std::size_t at = 0; at < job.progress.occurrences.size(); ++at) {
-        const auto& occurrence = job.progress.occurrences[at];
+    for (const auto& occurrence : job.progress.occurrences) {
+        if (occurrence.done) {
+            continue;
+        }
         for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
             const auto& spec = job.spec.steps[step];
             const auto& tasks = occurrence.steps[step];
--- a/src/baobabrack/workload/scheduler_node.cpp
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -19,6 +19,11 @@
 constexpr duration tick_interval = 100ms;
 // Metrics are read every few seconds.
 constexpr duration metrics_interval = 1s;
+constexpr duration forget_interval = 1s;
+// Wall clocks of hosts differ, and may be set by some seconds.
+constexpr duration forget_margin = 5s;
+// Drops that are under way at once, so that other calls get their share of the store.
+constexpr std::size_t most_forgetting = 20;
 // A leader stores something this often, which proves that it still leads.
 constexpr duration proof_interval = 700ms;
 // A leader extends leases only this long after the last proof; a new one counts on it.
@@ -84,6 +89,7 @@
 void scheduler_node::tick() {
     tick_timer_.arm(tick_interval, [this] { tick(); });
     if (leading()) {
+        forget_ended_jobs();
         decide();
     } else {
         consider_claim();
@@ -193,6 +199,7 @@
     leader_resigned_ = false;
     lead_since_ = now;
     sessions_.begin(term_.get());
+    forgotten_.clear();
     scheduler_ = std::make_unique<scheduler>(options_.decisions);
     const auto lease = options_.decisions.lease;
     scheduler_->load(book_, now,
@@ -262,7 +269,7 @@
     }
     const bool proof_due = around_.loop.now() - writer_.proved() >= proof_interval;
     auto batch = scheduler_->take_batch(proof_due);
-    const bool nothing = batch.changes.empty() && batch.ends.empty();
+    const bool nothing = batch.changes.empty() && batch.ends.empty() && forgotten_.empty();
     if (!nothing || proof_due || resigning_) {
         write_batch(std::move(batch));
     }
@@ -274,6 +281,9 @@
         records.push_back({.key = std::string{progress_prefix} + change.job.get(),
                            .value = to_wire(change.progress).SerializeAsString()});
     }
+    for (const auto& id : std::exchange(forgotten_, {})) {
+        records.push_back({.key = std::string{progress_prefix} + id.get(), .value = ""});
+    }
     const bool resigns = resigning_;
     records.push_back(leader_record(resigns));
     const auto first = writer_.end();
@@ -304,6 +314,46 @@
     scheduler_->stored(batch);
 }
 
+// Drops ended jobs: the submission first, as a job without progress would run again, and its
+// progress with a later batch.
+void scheduler_node::forget_ended_jobs() {
+    const auto now = around_.loop.now();
+    if (now - forgot_at_ < forget_interval || !proved_recently()) {
+        return;
+    }
+    forgot_at_ = now;
+    const auto keep = options_.status_retention + forget_margin;
+    const auto moment =
+        around_.loop.wall_now() - std::chrono::duration_cast<std::chrono::milliseconds>(keep);
+    for (const auto& id : book_.ended_before(moment)) {
+        if (forgetting_.size() < most_forgetting && forgetting_.insert(id).second) {
+            forget(id);
+        }
+    }
+}
+
+void scheduler_node::forget(const job_id& id) {
+    const std::vector<keyed_record> records{
+        {.key = std::string{submission_prefix} + id.get(), .value = ""},
+        {.key = std::string{cancel_prefix} + id.get(), .value = ""}};
+    around_.log.append({.topic = intake_topic, .records = records, .expected_end = std::nullopt},
+                       [this, id, records,
+                        alive = std::weak_ptr<bool>(alive_)](const result<append_reply>& reply) {
+                           if (alive.expired()) {
+                               return;
+                           }
+                           forgetting_.erase(id);
+                           if (!reply) {
+                               return;
+                           }
+                           auto offset = reply.value().first.get();
+                           for (const auto& record : records) {
+                               book_.take_intake(record.key, record.value, log_offset{offset++});
+                           }
+                           forgotten_.push_back(id);
+                       });
+}
+
 void scheduler_node::resign() {
     resigning_ = true;
     flush();
--- a/src/baobabrack/workload/scheduler_node.hpp
+++ b/src/baobabrack/workload/scheduler_node.hpp
@@ -32,6 +32,8 @@
         duration config_limit = std::chrono::milliseconds{2500};
         /// Answers about jobs need knowledge that is at most this old.
         duration answer_limit = std::chrono::milliseconds{2000};
+        /// An ended job is known for at least this long.
+        duration status_retention = std::chrono::seconds{120};
         /// ZeroMQ endpoints of schedulers to begin with.
         std::vector<std::string> seeds;
     };
@@ -93,6 +95,8 @@
     void decide();
     void decide_soon();
     void flush();
+    void forget_ended_jobs();
+    void forget(const job_id& id);
     void write_batch(progress_batch batch);
     keyed_record leader_record(bool resigned);
     void batch_stored(const progress_batch& batch, const std::vector<keyed_record>& records,
@@ -119,6 +123,11 @@
     guard_sessions sessions_;
     // Guards whose reports have not been answered.
     std::set<host_id> answers_due_;
+    // Ended jobs whose submissions are being dropped, and those whose progress comes next.
+    std::set<job_id> forgetting_;
+    std::vector<job_id> forgotten_;
+    time_point forgot_at_{};
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     // Every guard that was heard, also under another leader.
     std::set<std::string> guards_;
     std::uint64_t batches_ = 0;
--- a/tests/workload/job_book.tests.cpp
+++ b/tests/workload/job_book.tests.cpp
@@ -97,6 +97,23 @@
     CHECK(read.checkpoint == "c");
 }
 
+TEST_CASE("An occurrence that is done takes a few bytes and stays done", "[book]") {
+    auto spec = job_of("j", 50, 1);
+    spec.occurrences = 3;
+    job_progress progress{.phase = job_phase::active, .occurrences = {new_occurrence(spec, 0)}};
+    progress.occurrences.push_back(new_occurrence(spec, 1));
+    for (auto& task : progress.occurrences.front().steps.front()) {
+        task = {.phase = task_phase::done, .run = run_number{1}, .checkpoint = "checkpoint"};
+    }
+    progress.occurrences.front().done = true;
+    const auto record = to_wire(progress);
+    CHECK(record.occurrences(0).ByteSizeLong() < 10);
+    const auto back = from_wire(spec, record);
+    REQUIRE(back.occurrences.size() == 2);
+    CHECK(occurrence_done(spec, back.occurrences[0]));
+    CHECK_FALSE(occurrence_done(spec, back.occurrences[1]));
+}
+
 TEST_CASE("Jobs that cannot be are refused with a remedy", "[book]") {
     auto spec = job_of("j", 1, 1);
     CHECK(check(spec));
--- a/tests/workload/scheduler_node.tests.cpp
+++ b/tests/workload/scheduler_node.tests.cpp
@@ -180,6 +180,28 @@
     CHECK(world.violations.empty());
 }
 
+TEST_CASE("An ended job is forgotten everywhere after a while, and does not come back",
+          "[workload]") {
+    workload_world world(14, {});
+    world.run_for(2s);
+    REQUIRE(world.submit(job_of("j", 2, 1)));
+    REQUIRE(world.run_until([&] { return world.completed("j"); }, 4s));
+    world.run_for(100s);
+    CHECK(world.completed("j"));
+    world.run_for(40s);
+    CHECK_FALSE(world.phase("j").has_value());
+    const auto is_of_job = [](const keyed_entry& entry) {
+        return entry.record.key.ends_with("/j");
+    };
+    for (const auto* topic : {"keyed.baobabrack-jobs", "keyed.baobabrack-progress"}) {
+        const auto page = world.store.newest(topic_id{topic});
+        CHECK(std::none_of(page.entries.begin(), page.entries.end(), is_of_job));
+    }
+    world.kill_scheduler(world.leading_scheduler());
+    world.run_for(10s);
+    CHECK(world.runs_begun == 2);
+}
+
 TEST_CASE("A submission that may be stored is never called refused", "[workload]") {
     workload_world world(11, {.schedulers = 1});
     world.run_for(2s);
