--- a/bench/all_experiments.cpp
+++ b/bench/all_experiments.cpp
@@ -8,6 +8,7 @@
 #include "recovery_experiment.hpp"
 #include "requests_experiment.hpp"
 #include "slopes_experiment.hpp"
+#include "workload_experiment.hpp"
 
 namespace baobabrack::bench {
 
@@ -20,6 +21,7 @@
     experiments.push_back(std::make_unique<slopes_experiment>());
     experiments.push_back(std::make_unique<loopback_experiment>());
     experiments.push_back(std::make_unique<callers_experiment>());
+    experiments.push_back(std::make_unique<workload_experiment>());
     return experiments;
 }
 
