Decide in cheap passes; compare runs with themselves; doubt workers by degrees; wait where that is in time

Lists that a guard told twice counted as no progress. - a worker that fails at once is always the one with room: one job ran four times there within 200 ms and had failed. - work was stopped for urgent jobs although enough of it ended by itself in time. - a gang of which one worker stands still had all of its workers given up.

Changes: one pass for all waiting groups, only after news or 250 ms; positions in place of names; victims bought host by host, what is bought for one place being free for the next. An urgent job waits for room that comes free within half of its spare time. One end of a gang completes its step.

--- a/src/baobabrack/units/seconds.hpp
+++ b/src/baobabrack/units/seconds.hpp
@@ -10,6 +10,11 @@
     return std::chrono::duration<double>(span).count();
 }
 
+/// @return a number of seconds as a span, for results of arithmetic on rates
+constexpr duration from_seconds(double seconds) {
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
 }  // namespace baobabrack
 
 #endif
--- a/src/baobabrack/workload/placement.cpp
+++ b/src/baobabrack/workload/placement.cpp
@@ -2,141 +2,167 @@
 
 #include <algorithm>
 #include <limits>
-#include <set>
+#include <tuple>
 
 namespace baobabrack::workload {
 
 namespace {
 
-using host_list = std::vector<const candidate*>;
+/// A host that can take some tasks of a group.
+struct offer {
+    std::size_t at = 0;
+    std::uint32_t tasks = 0;
+};
 
-bool has_label(const candidate& host, const label& wanted) {
+using offers = std::vector<offer>;
+
+bool has_label(const worker_facts& facts, const label& wanted) {
     return wanted.get().empty() ||
-           std::find(host.labels.begin(), host.labels.end(), wanted) != host.labels.end();
+           std::find(facts.labels.begin(), facts.labels.end(), wanted) != facts.labels.end();
 }
 
-std::uint32_t already_on(const task_group& group, const host_id& host) {
-    const auto found = group.on_host.find(host);
-    return found == group.on_host.end() ? 0 : found->second;
+offers offers_for(const task_group& group, const candidates& from, const rack_id* rack,
+                  bool doubtful_too) {
+    offers found;
+    for (std::size_t at = 0; at < from.size(); ++at) {
+        if (from[at].doubtful && !doubtful_too) {
+            continue;
+        }
+        if (rack != nullptr && from[at].facts->rack != *rack) {
+            continue;
+        }
+        const auto tasks = room_for(group, from[at]);
+        if (tasks > 0) {
+            found.push_back({.at = at, .tasks = tasks});
+        }
+    }
+    return found;
 }
 
-/// @return how many tasks of the group the host can take
-std::uint32_t room(const task_group& group, const candidate& host) {
-    if (!has_label(host, group.spec->required)) {
-        return 0;
-    }
-    auto count = host.left.times(group.spec->per_task);
-    if (group.spec->most_per_worker > 0) {
-        const auto have = already_on(group, host.host);
-        const auto most = group.spec->most_per_worker;
-        count = std::min(count, most > have ? most - have : 0U);
+std::uint64_t total(const offers& from) {
+    std::uint64_t sum = 0;
+    for (const auto& one : from) {
+        sum += one.tasks;
     }
-    return count;
+    return sum;
 }
 
-/// Fullest host first, so that whole hosts stay free.
-host_list by_best_fit(const task_group& group, host_list hosts) {
-    std::erase_if(hosts, [&](const candidate* host) { return room(group, *host) == 0; });
-    std::sort(hosts.begin(), hosts.end(), [](const candidate* left, const candidate* right) {
-        return std::tie(left->left.accelerators, left->left.cpu, left->host) <
-               std::tie(right->left.accelerators, right->left.cpu, right->host);
+// Fullest host first, so that whole hosts stay free.
+placed_tasks fill(const task_group& group, const candidates& from, offers hosts) {
+    std::sort(hosts.begin(), hosts.end(), [&](const offer& left, const offer& right) {
+        const auto& one = from[left.at];
+        const auto& other = from[right.at];
+        return std::tie(one.doubtful, one.left.accelerators, one.left.cpu, left.at) <
+               std::tie(other.doubtful, other.left.accelerators, other.left.cpu, right.at);
     });
-    return hosts;
-}
-
-std::optional<std::vector<placed_task>> fill(const task_group& group, const host_list& hosts) {
-    std::vector<placed_task> places;
-    for (const auto* host : by_best_fit(group, hosts)) {
-        const auto count = room(group, *host);
-        for (std::uint32_t taken = 0; taken < count && places.size() < group.tasks.size();
+    placed_tasks places;
+    for (const auto& host : hosts) {
+        for (std::uint32_t taken = 0; taken < host.tasks && places.size() < group.tasks.size();
              ++taken) {
-            places.push_back({.index = group.tasks[places.size()], .host = host->host});
+            places.push_back({.index = group.tasks[places.size()], .at = host.at});
         }
     }
-    if (places.size() < group.tasks.size()) {
-        return std::nullopt;
-    }
     return places;
 }
 
-/// @return accelerators that are left on hosts of a rack after the group took its share
-std::uint32_t total_left(const host_list& hosts) {
-    std::uint32_t total = 0;
-    for (const auto* host : hosts) {
-        total += host->left.accelerators.get();
-    }
-    return total;
-}
-
-std::map<rack_id, host_list> by_rack(const candidates& from) {
-    std::map<rack_id, host_list> racks;
-    for (const auto& host : from) {
-        racks[host.rack].push_back(&host);
+// One rack for the whole group: of those that suffice, the one with the least left.
+std::optional<offers> in_one_rack(const task_group& group, const candidates& from,
+                                  const offers& hosts) {
+    struct rack_room {
+        std::uint64_t tasks = 0;
+        std::uint64_t accelerators_left = 0;
+    };
+    std::map<const rack_id*, rack_room,
+             decltype([](const rack_id* left, const rack_id* right) { return *left < *right; })>
+        racks;
+    for (const auto& host : hosts) {
+        auto& rack = racks[&from[host.at].facts->rack];
+        rack.tasks += host.tasks;
+        rack.accelerators_left += from[host.at].left.accelerators.get();
     }
-    return racks;
-}
-
-host_list in_rack(const candidates& from, const rack_id& rack) {
-    host_list hosts;
-    for (const auto& host : from) {
-        if (host.rack == rack) {
-            hosts.push_back(&host);
+    const rack_id* best = nullptr;
+    auto least = std::numeric_limits<std::uint64_t>::max();
+    for (const auto& [rack, room] : racks) {
+        if (room.tasks >= group.tasks.size() && room.accelerators_left < least) {
+            best = rack;
+            least = room.accelerators_left;
         }
     }
-    return hosts;
-}
-
-/// One rack for the whole group: the one that is left with the least.
-std::optional<std::vector<placed_task>> fill_one_rack(const task_group& group,
-                                                      const candidates& from) {
-    std::optional<std::vector<placed_task>> best;
-    std::uint32_t best_left = std::numeric_limits<std::uint32_t>::max();
-    for (const auto& [rack, hosts] : by_rack(from)) {
-        auto places = fill(group, hosts);
-        const auto left = total_left(hosts);
-        if (places && left < best_left) {
-            best = std::move(places);
-            best_left = left;
-        }
+    if (best == nullptr) {
+        return std::nullopt;
     }
-    return best;
+    auto chosen = hosts;
+    std::erase_if(chosen, [&](const offer& host) { return from[host.at].facts->rack != *best; });
+    return chosen;
 }
 
-}  // namespace
+bool any_doubtful(const candidates& from) {
+    return std::any_of(from.begin(), from.end(),
+                       [](const candidate& host) { return host.doubtful; });
+}
 
-std::optional<std::vector<placed_task>> place(const task_group& group, const candidates& from,
-                                              const placement_limits& limits) {
+std::optional<placed_tasks> place_among(const task_group& group, const candidates& from,
+                                        const placement_limits& limits, bool doubtful_too) {
     const auto& data_rack = group.spec->data_rack;
     if (!data_rack.get().empty()) {
-        if (auto near = fill(group, in_rack(from, data_rack))) {
-            return near;
+        auto near = offers_for(group, from, &data_rack, doubtful_too);
+        if (total(near) >= group.tasks.size()) {
+            return fill(group, from, std::move(near));
         }
         if (!limits.remote) {
             return std::nullopt;
         }
     }
-    const bool one_rack = group.spec->gang && group.spec->rack_local;
-    if (auto together = fill_one_rack(group, from)) {
-        return together;
+    auto hosts = offers_for(group, from, nullptr, doubtful_too);
+    if (total(hosts) < group.tasks.size()) {
+        return std::nullopt;
+    }
+    if (auto together = in_one_rack(group, from, hosts)) {
+        return fill(group, from, std::move(*together));
     }
-    if (one_rack && !limits.spread) {
+    if (group.spec->gang && group.spec->rack_local && !limits.spread) {
         return std::nullopt;
     }
-    host_list hosts;
-    for (const auto& host : from) {
-        hosts.push_back(&host);
+    return fill(group, from, std::move(hosts));
+}
+
+}  // namespace
+
+std::uint32_t room_for(const task_group& group, const candidate& host) {
+    const auto& spec = *group.spec;
+    const bool avoided = std::find(group.avoided.begin(), group.avoided.end(),
+                                   host.facts->life.host) != group.avoided.end();
+    if (avoided || !has_label(*host.facts, spec.required)) {
+        return 0;
+    }
+    auto count = host.left.times(spec.per_task);
+    if (spec.most_per_worker > 0) {
+        const auto found = group.on_host.find(host.facts->life.host);
+        const auto have = found == group.on_host.end() ? 0 : found->second;
+        count = std::min(count, spec.most_per_worker > have ? spec.most_per_worker - have : 0U);
+    }
+    return count;
+}
+
+std::optional<placed_tasks> place(const task_group& group, const candidates& from,
+                                  const placement_limits& limits) {
+    auto places = place_among(group, from, limits, false);
+    if (!places && any_doubtful(from)) {
+        places = place_among(group, from, limits, true);
     }
-    return fill(group, hosts);
+    return places;
 }
 
-void take(candidates& from, const task_group& group, const std::vector<placed_task>& places) {
+placed_tasks place_some(const task_group& group, const candidates& from,
+                        const placement_limits& limits) {
+    const auto& data_rack = group.spec->data_rack;
+    const bool near_only = !data_rack.get().empty() && !limits.remote;
+    return fill(group, from, offers_for(group, from, near_only ? &data_rack : nullptr, true));
+}
+
+void take(candidates& from, const task_group& group, const placed_tasks& places) {
     for (const auto& placed : places) {
-        const auto host = std::find_if(from.begin(), from.end(), [&](const candidate& one) {
-            return one.host == placed.host;
-        });
-        if (host != from.end()) {
-            host->left.subtract(group.spec->per_task);
-        }
+        from[placed.at].left.subtract(group.spec->per_task);
     }
 }
 
--- a/src/baobabrack/workload/placement.hpp
+++ b/src/baobabrack/workload/placement.hpp
@@ -1,6 +1,7 @@
 #ifndef BAOBABRACK_WORKLOAD_PLACEMENT_HPP
 #define BAOBABRACK_WORKLOAD_PLACEMENT_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -13,28 +14,36 @@
 
 /// A worker that may take runs now, with what is left of it.
 struct candidate {
-    host_id host;
-    rack_id rack;
-    std::vector<label> labels;
+    /// Owned by the table of workers.
+    const worker_facts* facts = nullptr;
     resources left;
+    /// To be used only where the others do not suffice.
+    bool doubtful = false;
 };
 
+/// Places are positions in this list, so its order does not change while they are in use.
 using candidates = std::vector<candidate>;
 
-/// Tasks that are placed together: one, or a whole gang.
+/// Tasks of one step that wait for places: a whole gang, or tasks that run each for itself.
 struct task_group {
     step_name step;
     const step_spec* spec = nullptr;
     std::vector<std::uint32_t> tasks;
-    /// Tasks of the step that each host has already.
+    /// Tasks of the step that each host has already; kept only for steps with a limit for one
+    /// worker.
     std::map<host_id, std::uint32_t> on_host;
+    /// Hosts where the job's runs have failed at once.
+    std::vector<host_id> avoided;
 };
 
 struct placed_task {
     std::uint32_t index = 0;
-    host_id host;
+    /// Position of the host in the candidates.
+    std::size_t at = 0;
 };
 
+using placed_tasks = std::vector<placed_task>;
+
 /// Which slower places are acceptable by now.
 struct placement_limits {
     /// Away from the rack that holds the data.
@@ -43,15 +52,22 @@
     bool spread = true;
 };
 
+/// @return how many tasks of the group a host can take with what is left of it
+std::uint32_t room_for(const task_group& group, const candidate& host);
+
 /// Chooses a host for each task of a group, or nothing if they do not all fit.
 ///
-/// Prefers the rack of the data, then one rack for the whole gang, then the hosts with the least
-/// left, so that large groups find whole hosts later.
-std::optional<std::vector<placed_task>> place(const task_group& group, const candidates& from,
-                                              const placement_limits& limits);
+/// Prefers hosts that are not doubtful, then the rack of the data, then one rack for the whole
+/// gang, then the hosts with the least left, so that large groups find whole hosts later.
+std::optional<placed_tasks> place(const task_group& group, const candidates& from,
+                                  const placement_limits& limits);
+
+/// Chooses hosts for as many tasks of a group as fit, in the same order of preference.
+placed_tasks place_some(const task_group& group, const candidates& from,
+                        const placement_limits& limits);
 
 /// Takes what a group holds from the candidates.
-void take(candidates& from, const task_group& group, const std::vector<placed_task>& places);
+void take(candidates& from, const task_group& group, const placed_tasks& places);
 
 }  // namespace baobabrack::workload
 
--- a/src/baobabrack/workload/preemption.hpp
+++ b/src/baobabrack/workload/preemption.hpp
@@ -1,8 +1,9 @@
 #ifndef BAOBABRACK_WORKLOAD_PREEMPTION_HPP
 #define BAOBABRACK_WORKLOAD_PREEMPTION_HPP
 
-#include <map>
+#include <cstddef>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "baobabrack/workload/placement.hpp"
@@ -12,15 +13,17 @@
 /// Runs that can only be stopped together.
 struct victim {
     std::vector<task_name> tasks;
-    std::map<host_id, resources> held;
+    /// What the runs hold, by position of the host in the candidates.
+    std::vector<std::pair<std::size_t, resources>> held;
     /// Work that would be thrown away, in processor-seconds.
     double loss = 0;
 };
 
 /// Victims to stop, and the places that become free by it.
 struct preemption {
-    std::vector<victim> victims;
-    std::vector<placed_task> places;
+    /// Positions in the list of victims.
+    std::vector<std::size_t> victims;
+    placed_tasks places;
     double loss = 0;
 };
 
@@ -30,8 +33,9 @@
 
 /// Finds the victims whose stopping makes room for a group at the least loss.
 ///
-/// Searches each host, each rack and the whole service for itself, as the cheapest victims of a
-/// service are of no use when they are spread over many hosts.
+/// Each place is bought where it costs the least: the hosts are compared by what stopping their
+/// cheapest victims costs for each place that becomes free, and what has been bought for one place
+/// is free for the next. Racks are compared whole when the group has to stay in one.
 ///
 /// @param free    what is left, with what is already being freed
 /// @param victims what may be stopped
--- a/src/baobabrack/workload/scheduler.cpp
+++ b/src/baobabrack/workload/scheduler.cpp
@@ -47,13 +47,14 @@
 
 // Counts the runs that an earlier leader has assigned.
 void scheduler::inherit_runs(open_job& job, time_point now) {
-    for_each_task(job, [&](const task_name& name, const task_ref& ref) {
+    for_each_task(job, [&](const task_ref& ref) {
         if (ref.task->phase != task_phase::assigned) {
             return;
         }
+        const auto name = name_of(ref);
         ref.extra->stored_run = ref.task->run;
         ref.extra->assigned = now;
-        ref.extra->percent_since = now;
+        ref.extra->pace.restart(now);
         const auto& place = ref.task->place;
         auto* known = workers_.find(place.host);
         if (known == nullptr) {
@@ -81,6 +82,7 @@
             steps.emplace_back(tasks.size());
         }
     }
+    room_changed_ = true;
     jobs_.emplace(job.spec.id, std::move(job));
 }
 
@@ -88,9 +90,16 @@
     const auto found = jobs_.find(id);
     if (found != jobs_.end()) {
         found->second.cancelled = true;
+        found->second.unsettled = true;
     }
 }
 
+task_name scheduler::name_of(const task_ref& ref) {
+    return {
+        .step = {.job = ref.job->spec.id, .occurrence = ref.occurrence, .step = ref.step_number},
+        .index = ref.index};
+}
+
 std::optional<scheduler::task_ref> scheduler::find(const task_name& task) {
     const auto found = jobs_.find(task.step.job);
     if (found == jobs_.end()) {
@@ -108,6 +117,9 @@
     auto& tasks = at->steps[task.step.step];
     auto& extras = job.extra[static_cast<std::size_t>(at - all.begin())][task.step.step];
     return task_ref{.job = &job,
+                    .occurrence = task.step.occurrence,
+                    .step_number = task.step.step,
+                    .index = task.index,
                     .step = &job.spec.steps[task.step.step],
                     .tasks = &tasks,
                     .extras = &extras,
@@ -120,6 +132,7 @@
     const auto& place = ref.task->place;
     runs_on_[place.host].insert(name);
     auto& worker = workers_.at(place.host);
+    ref.extra->worker = &worker;
     if (worker.facts.life == place) {
         worker.used.add(ref.step->per_task);
     }
@@ -129,7 +142,9 @@
     const auto& place = ref.task->place;
     runs_on_[place.host].erase(name);
     touched_.insert(place.host);
-    auto* worker = workers_.find(place.host);
+    room_changed_ = true;
+    ref.job->unsettled = true;
+    auto* worker = std::exchange(ref.extra->worker, nullptr);
     if (worker != nullptr && worker->facts.life == place) {
         worker->used = left_of(worker->used, ref.step->per_task);
     }
@@ -151,6 +166,8 @@
         return;
     }
     ref.extra->stopping = true;
+    ref.job->unsettled = true;
+    room_changed_ = true;
     ++counts_.stopped;
     touched_.insert(ref.task->place.host);
     add_note("run-stopping", name, ref.task->run, ref.task->place.host, why);
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -9,9 +9,11 @@
 #include <vector>
 
 #include "baobabrack/workload/directory.hpp"
+#include "baobabrack/workload/estimate_errors.hpp"
 #include "baobabrack/workload/job_book.hpp"
 #include "baobabrack/workload/preemption.hpp"
 #include "baobabrack/workload/room_view.hpp"
+#include "baobabrack/workload/run_pace.hpp"
 #include "baobabrack/workload/worker_table.hpp"
 
 namespace baobabrack::workload {
@@ -42,6 +44,8 @@
 struct hold_lists {
     std::vector<run_report> runs;
     std::vector<run_end> ends;
+    /// There are more ends than one answer lists, so what is missing here may be among them.
+    bool more_ends = false;
 };
 
 /// A start that has not happened and cannot happen any more.
@@ -182,15 +186,15 @@
     struct task_extra {
         /// Highest run that has been stored.
         run_number stored_run;
+        /// Where the run is; null unless it is assigned.
+        worker_state* worker = nullptr;
         bool stopping = false;
         /// Has been moved from a slow worker before.
         bool moved = false;
         /// How often it has made room for others.
         std::uint32_t preempted = 0;
         time_point assigned{};
-        std::uint32_t percent = 0;
-        /// Since when the percent has been what it is.
-        time_point percent_since{};
+        run_pace pace;
     };
     struct open_job {
         job_spec spec;
@@ -204,9 +208,16 @@
         bool dirty = false;
         /// Only checkpoints have changed.
         bool saved = false;
+        /// Something has happened to the job since it was last looked at.
+        bool unsettled = true;
+        /// Where its runs have failed at once, and when last.
+        std::map<host_id, time_point> failed_on;
     };
     struct task_ref {
         open_job* job = nullptr;
+        std::uint32_t occurrence = 0;
+        std::uint32_t step_number = 0;
+        std::uint32_t index = 0;
         const step_spec* step = nullptr;
         std::vector<task_progress>* tasks = nullptr;
         std::vector<task_extra>* extras = nullptr;
@@ -222,6 +233,15 @@
         double rank = 0;
     };
 
+    /// The waiting groups of one service and the room for them, in one pass of placement.
+    struct placement_pass {
+        room_view room;
+        time_point now;
+        /// What a group of a priority may stop; found when it is first asked for.
+        std::map<std::uint32_t, std::vector<victim>> victims;
+    };
+
+    static task_name name_of(const task_ref& ref);
     std::optional<task_ref> find(const task_name& task);
     void hold(const task_name& name, const task_ref& ref);
     void release(const task_name& name, const task_ref& ref);
@@ -236,6 +256,12 @@
     void watch_progress(const task_name& name, const run_report& run, const task_ref& ref,
                         time_point now);
     duration patience(const task_ref& ref) const;
+    void take_for_stalled(const task_name& name, const task_ref& ref, time_point now);
+    bool others_move(const worker_state& worker, const job_id& job, time_point now);
+    double expected_rate(const task_ref& ref) const;
+    double sibling_rate(const task_ref& ref) const;
+    void watch_speed(worker_state& worker, time_point now);
+    void learn_from(const task_ref& ref, time_point now);
     bool in_fast_place(const task_ref& ref) const;
     void move_from_slow(const task_name& name, const task_ref& ref, time_point now);
     template <typename Action>
@@ -247,21 +273,23 @@
     void stop_broken_gangs(open_job& job);
     bool anything_assigned(const open_job& job) const;
     void finish(open_job& job, job_phase phase, wall_time wall_now);
-    candidates candidates_of(const service_id& service, time_point now) const;
-    std::vector<waiting_group> waiting_groups(const directory& config, wall_time wall_now);
-    void add_waiting_groups(open_job& job, std::vector<waiting_group>& into);
+    candidates candidates_of(const service_id& service, time_point now);
+    bool placement_due(const directory& config, time_point now);
+    std::vector<waiting_group> waiting_groups(const directory& config, time_point now,
+                                              wall_time wall_now);
+    void add_waiting_groups(open_job& job, time_point now, std::vector<waiting_group>& into);
+    std::vector<host_id> avoided_by(const open_job& job, time_point now) const;
     void place_groups(std::vector<waiting_group>& groups, time_point now);
-    std::optional<std::vector<placed_task>> choose_places(const waiting_group& waiting,
-                                                          room_view& room, time_point now);
+    void place_group(waiting_group& waiting, placement_pass& pass);
+    bool can_wait_until(const waiting_group& waiting, time_point begin, time_point now) const;
+    bool place_late(waiting_group& waiting, placement_pass& pass);
     room_view view_room(const service_id& service, time_point now);
     time_point expected_end(const task_ref& ref, time_point now) const;
     void mark_entitled(const directory& config, std::vector<waiting_group>& groups) const;
-    void assign(const waiting_group& waiting, const std::vector<placed_task>& places,
-                time_point now);
-    bool make_room(const waiting_group& waiting, room_view& room, time_point now,
+    void assign(waiting_group& waiting, const placed_tasks& places, placement_pass& pass);
+    bool make_room(const waiting_group& waiting, placement_pass& pass,
                    const placement_limits& limits);
-    std::vector<victim> victims_below(std::uint32_t priority, const service_id& service,
-                                      time_point now);
+    const std::vector<victim>& victims_for(const waiting_group& waiting, placement_pass& pass);
     void stop_victim(const victim& chosen);
     void expire_silent(time_point now);
     duration lapse_bound(duration lease) const;
@@ -280,6 +308,11 @@
     std::vector<progress_batch::change> ended_jobs_;
     // When every lease that an earlier leader granted has lapsed.
     time_point inherited_lapse_{};
+    // Whether something has happened that may let a waiting group run.
+    bool room_changed_ = true;
+    time_point placed_at_{};
+    config_version placed_under_;
+    estimate_errors estimate_errors_;
     scheduler_counts counts_;
 };
 
@@ -293,16 +326,15 @@
         for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
             auto& tasks = occurrences[at].steps[step];
             for (std::size_t index = 0; index < tasks.size(); ++index) {
-                const task_name name{.step = {.job = job.spec.id,
-                                              .occurrence = occurrences[at].number,
-                                              .step = static_cast<std::uint32_t>(step)},
-                                     .index = static_cast<std::uint32_t>(index)};
-                action(name, task_ref{.job = &job,
-                                      .step = &job.spec.steps[step],
-                                      .tasks = &tasks,
-                                      .extras = &job.extra[at][step],
-                                      .task = &tasks[index],
-                                      .extra = &job.extra[at][step][index]});
+                action(task_ref{.job = &job,
+                                .occurrence = occurrences[at].number,
+                                .step_number = static_cast<std::uint32_t>(step),
+                                .index = static_cast<std::uint32_t>(index),
+                                .step = &job.spec.steps[step],
+                                .tasks = &tasks,
+                                .extras = &job.extra[at][step],
+                                .task = &tasks[index],
+                                .extra = &job.extra[at][step][index]});
             }
         }
     }
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <utility>
 
 #include "baobabrack/units/seconds.hpp"
 #include "baobabrack/workload/scheduler.hpp"
@@ -16,11 +17,18 @@
 // Clocks of hosts differ a little; an occurrence begins this much after its due time.
 constexpr milliseconds due_margin{60};
 // Ended occurrences and jobs further past their objective than this factor are worth nothing.
-constexpr double worthless_factor = 3;
+constexpr int worthless_factor = 3;
 constexpr placement_limits fast_only{.remote = false, .spread = false};
 // Ranks of groups that come after those that can still be in time.
 constexpr double late_rank = 1e6;
 constexpr double worthless_rank = 2e6;
+// Without news waiting groups are looked at again after this time, as time alone changes what may
+// be placed: a run that is late, a worker that gets a trial.
+constexpr duration placement_interval = milliseconds{250};
+// A job stays away for this long from a host where its runs have failed: longer than it takes to
+// tell a worker that fails everything from a task that does.
+constexpr duration avoid_time = std::chrono::seconds{8};
+
 double remaining_work(const job_spec& spec, const job_progress& progress) {
     double work = 0;
     for (const auto& occurrence : progress.occurrences) {
@@ -36,14 +44,19 @@
     return work;
 }
 
+// How long a job may take by what its queue promises.
+duration objective_of(const job_spec& spec) {
+    return from_seconds(to_seconds(longest_chain(spec)) * spec.slack_factor) +
+           spec.target_completion;
+}
+
 // The order of waiting jobs of one priority: those that can still be in time, shortest work
 // first; then late ones, which still earn a part; then those that earn nothing any more. Under
 // overload, shortest work first serves most jobs; first come would make all of them late.
 double rank_of(const job_spec& spec, const job_progress& progress, wall_time wall_now) {
     const auto work = std::min(remaining_work(spec, progress), late_rank / 2);
-    const auto objective = std::chrono::duration<double>(longest_chain(spec)) * spec.slack_factor +
-                           std::chrono::duration<double>(spec.target_completion);
-    const std::chrono::duration<double> age = wall_now - spec.submitted;
+    const auto objective = objective_of(spec);
+    const duration age = wall_now - spec.submitted;
     if (age > objective * worthless_factor) {
         return worthless_rank + work;
     }
@@ -55,19 +68,35 @@
 void scheduler::decide(const directory* config, time_point now, wall_time wall_now) {
     expire_silent(now);
     settle_jobs(wall_now);
-    if (config == nullptr) {
+    if (config == nullptr || !placement_due(*config, now)) {
         return;
     }
-    auto groups = waiting_groups(*config, wall_now);
+    auto groups = waiting_groups(*config, now, wall_now);
     place_groups(groups, now);
 }
 
+bool scheduler::placement_due(const directory& config, time_point now) {
+    if (!room_changed_ && config.version == placed_under_ &&
+        now - placed_at_ < placement_interval) {
+        return false;
+    }
+    room_changed_ = false;
+    placed_under_ = config.version;
+    placed_at_ = now;
+    return true;
+}
+
 void scheduler::settle_jobs(wall_time wall_now) {
     for (auto each = jobs_.begin(); each != jobs_.end();) {
         auto& job = each->second;
-        settle(job, wall_now);
-        if (has_ended(job.progress.phase)) {
-            ended_jobs_.push_back({.job = each->first, .progress = std::move(job.progress)});
+        open_due_occurrences(job, wall_now);
+        if (std::exchange(job.unsettled, false)) {
+            settle(job, wall_now);
+        }
+        if (has_ended(job.progress.phase) && !anything_assigned(job)) {
+            if (job.dirty) {
+                ended_jobs_.push_back({.job = each->first, .progress = std::move(job.progress)});
+            }
             each = jobs_.erase(each);
         } else {
             ++each;
@@ -76,7 +105,6 @@
 }
 
 void scheduler::settle(open_job& job, wall_time wall_now) {
-    open_due_occurrences(job, wall_now);
     bool failed = false;
     bool all_done = !job.progress.occurrences.empty();
     for (auto& occurrence : job.progress.occurrences) {
@@ -104,14 +132,16 @@
     } else {
         stop_broken_gangs(job);
     }
-    if (anything_assigned(job)) {
+    if (has_ended(job.progress.phase)) {
         return;
     }
+    // One end of a gang stands for all, so the job is complete although other ends of the gang are
+    // still on their way; it is kept until they have come, for the room that they hold.
     if (all_done) {
         finish(job, job_phase::completed, wall_now);
-    } else if (job.cancelled) {
+    } else if (job.cancelled && !anything_assigned(job)) {
         finish(job, job_phase::cancelled, wall_now);
-    } else if (failed) {
+    } else if (failed && !anything_assigned(job)) {
         finish(job, job_phase::failed, wall_now);
     }
 }
@@ -130,18 +160,22 @@
         for (const auto& step : job.spec.steps) {
             steps.emplace_back(step.tasks);
         }
+        job.unsettled = true;
+        room_changed_ = true;
     }
 }
 
 void scheduler::stop_all(open_job& job) {
-    for_each_task(job, [&](const task_name& name, const task_ref& ref) {
-        stop(name, ref, job.cancelled ? "the job was cancelled" : "the job has failed");
+    for_each_task(job, [&](const task_ref& ref) {
+        if (ref.task->phase == task_phase::assigned) {
+            stop(name_of(ref), ref, job.cancelled ? "the job was cancelled" : "the job has failed");
+        }
     });
 }
 
 // A gang of which one run has ended unfinished cannot go on.
 void scheduler::stop_broken_gangs(open_job& job) {
-    for_each_task(job, [&](const task_name& name, const task_ref& ref) {
+    for_each_task(job, [&](const task_ref& ref) {
         if (!ref.step->gang || ref.task->phase != task_phase::assigned ||
             step_done(*ref.step, *ref.tasks)) {
             return;
@@ -152,7 +186,7 @@
         const auto stops = [](const task_extra& one) { return one.stopping; };
         if (std::any_of(ref.tasks->begin(), ref.tasks->end(), waits) ||
             std::any_of(ref.extras->begin(), ref.extras->end(), stops)) {
-            stop(name, ref, "another run of the gang has ended");
+            stop(name_of(ref), ref, "another run of the gang has ended");
         }
     });
 }
@@ -167,25 +201,29 @@
 void scheduler::finish(open_job& job, job_phase phase, wall_time wall_now) {
     job.progress.phase = phase;
     job.progress.ended = wall_now;
-    job.dirty = false;
+    job.dirty = true;
     add_note("job-" + std::string{to_string(phase)}, {.step = {.job = job.spec.id}}, {}, {});
 }
 
-candidates scheduler::candidates_of(const service_id& service, time_point now) const {
+candidates scheduler::candidates_of(const service_id& service, time_point now) {
     candidates sound;
     candidates slow;
     for (const auto& [host, worker] : workers_.all()) {
+        const auto standing = worker.record.standing(now);
+        const bool busy_on_trial =
+            standing == worker_standing::on_trial && worker.used != resources{};
         const bool usable = worker.facts.service == service && !worker.facts.draining &&
                             !worker.gone && worker.answers && !worker.has_strays &&
                             now <= worker.heard + options_.silence_limit &&
-                            !worker.record.suspect(now);
-        if (usable) {
-            auto& into = worker.speed.slow(now) ? slow : sound;
-            into.push_back({.host = host,
-                            .rack = worker.facts.rack,
-                            .labels = worker.facts.labels,
-                            .left = left_of(worker.facts.capacity, worker.used)});
+                            standing != worker_standing::suspect && !busy_on_trial;
+        if (!usable) {
+            continue;
         }
+        const bool is_slow = worker.speed.slow(now);
+        auto& into = is_slow && !worker.speed.shared() ? slow : sound;
+        into.push_back({.facts = &worker.facts,
+                        .left = left_of(worker.facts.capacity, worker.used),
+                        .doubtful = is_slow || standing != worker_standing::sound});
     }
     // Where most are slow, the estimates are wrong rather than the workers.
     if (slow.size() > sound.size()) {
@@ -194,7 +232,20 @@
     return sound;
 }
 
+// A run that has failed at once is not started again at the same place for a while, as the place
+// may be what is wrong. Where there are few hosts, one that may be unsound is better than none.
+std::vector<host_id> scheduler::avoided_by(const open_job& job, time_point now) const {
+    std::vector<host_id> avoided;
+    for (const auto& [host, failed_at] : job.failed_on) {
+        if (now - failed_at < avoid_time && avoided.size() < workers_.all().size() / 2) {
+            avoided.push_back(host);
+        }
+    }
+    return avoided;
+}
+
 std::vector<scheduler::waiting_group> scheduler::waiting_groups(const directory& config,
+                                                                time_point now,
                                                                 wall_time wall_now) {
     std::vector<waiting_group> groups;
     for (auto& [id, job] : jobs_) {
@@ -202,7 +253,7 @@
             continue;
         }
         const auto first = groups.size();
-        add_waiting_groups(job, groups);
+        add_waiting_groups(job, now, groups);
         const auto rank = groups.size() > first ? rank_of(job.spec, job.progress, wall_now) : 0;
         for (auto at = first; at < groups.size(); ++at) {
             groups[at].rank = rank;
@@ -217,7 +268,8 @@
     return groups;
 }
 
-void scheduler::add_waiting_groups(open_job& job, std::vector<waiting_group>& into) {
+void scheduler::add_waiting_groups(open_job& job, time_point now,
+                                   std::vector<waiting_group>& into) {
     for (const auto& occurrence : job.progress.occurrences) {
         if (occurrence.done) {
             continue;
@@ -237,24 +289,18 @@
                                       .step = static_cast<std::uint32_t>(step)},
                              .spec = &spec,
                              .tasks = {},
-                             .on_host = {}};
+                             .on_host = {},
+                             .avoided = avoided_by(job, now)};
             for (std::size_t index = 0; index < tasks.size(); ++index) {
                 if (tasks[index].phase == task_phase::waiting) {
                     group.tasks.push_back(static_cast<std::uint32_t>(index));
-                } else if (tasks[index].phase == task_phase::assigned) {
+                } else if (tasks[index].phase == task_phase::assigned && spec.most_per_worker > 0) {
                     ++group.on_host[tasks[index].place.host];
                 }
             }
-            if (spec.gang) {
-                if (group.tasks.size() == tasks.size()) {
-                    into.push_back({.job = &job, .group = std::move(group)});
-                }
-                continue;
-            }
-            for (const auto index : group.tasks) {
-                auto single = group;
-                single.tasks = {index};
-                into.push_back({.job = &job, .group = std::move(single)});
+            const bool complete = !spec.gang || group.tasks.size() == tasks.size();
+            if (complete && !group.tasks.empty()) {
+                into.push_back({.job = &job, .group = std::move(group)});
             }
         }
     }
@@ -282,109 +328,143 @@
 }
 
 void scheduler::place_groups(std::vector<waiting_group>& groups, time_point now) {
-    std::map<service_id, room_view> rooms;
-    // Tasks of one step that all failed to fit are not tried one by one.
-    std::set<step_name> hopeless;
-    // Tasks of one step count against each other's limit for one worker.
-    std::map<step_name, std::map<host_id, std::uint32_t>> placed;
+    std::map<service_id, placement_pass> passes;
     for (auto& waiting : groups) {
-        auto& group = waiting.group;
-        if (hopeless.contains(group.step)) {
-            continue;
-        }
         const auto& service = waiting.job->spec.service;
-        if (!rooms.contains(service)) {
-            rooms[service] = view_room(service, now);
-        }
-        for (const auto& [host, count] : placed[group.step]) {
-            group.on_host[host] += count;
+        auto found = passes.find(service);
+        if (found == passes.end()) {
+            found = passes
+                        .emplace(service,
+                                 placement_pass{
+                                     .room = view_room(service, now), .now = now, .victims = {}})
+                        .first;
         }
-        auto& room = rooms[service];
-        const auto places = choose_places(waiting, room, now);
-        if (!places) {
-            // Each task of an urgent step gets room of its own.
-            if (waiting.job->spec.priority != 0) {
-                hopeless.insert(group.step);
-            }
-            continue;
+        place_group(waiting, found->second);
+    }
+}
+
+// What fits into fast places begins at once. For the rest it is weighed whether to wait, to have
+// room freed, or to take slow places; each task that does not belong to a gang for itself.
+void scheduler::place_group(waiting_group& waiting, placement_pass& pass) {
+    auto& group = waiting.group;
+    const auto usable = pass.room.usable(pass.now, group.spec->estimated);
+    if (group.spec->gang) {
+        if (const auto fast = place(group, usable, fast_only)) {
+            assign(waiting, *fast, pass);
+        } else {
+            place_late(waiting, pass);
         }
-        workload::take(room.left, group, *places);
-        for (const auto& one : *places) {
-            ++placed[group.step][one.host];
+        return;
+    }
+    assign(waiting, place_some(group, usable, fast_only), pass);
+    auto rest = waiting;
+    const bool urgent = waiting.job->spec.priority == 0;
+    for (const auto index : waiting.group.tasks) {
+        rest.group.tasks = {index};
+        rest.group.on_host = waiting.group.on_host;
+        // Each task of an urgent step gets room of its own; of other steps one reserves a place,
+        // and the others are alike.
+        if (!place_late(rest, pass) && !urgent) {
+            return;
         }
-        assign(waiting, *places, now);
+        waiting.group.on_host = rest.group.on_host;
     }
 }
 
-// The fast place if there is one; otherwise whatever lets the group end soonest: to wait for a
-// fast place, to have one freed, or to take a slow place now.
-std::optional<std::vector<placed_task>> scheduler::choose_places(const waiting_group& waiting,
-                                                                 room_view& room, time_point now) {
+// Whether a group that begins then is still in time, and begins within what its workspace is
+// promised. Stopping work for it would only throw that work away.
+bool scheduler::can_wait_until(const waiting_group& waiting, time_point begin,
+                               time_point now) const {
+    const auto& job = *waiting.job;
+    const auto spare = objective_of(job.spec) - from_seconds(to_seconds(now - job.since)) -
+                       longest_chain(job.spec);
+    const auto promised = job.since + options_.reclaim_timeout / 2;
+    return begin - now < spare / 2 && (!waiting.entitled || begin < promised);
+}
+
+// Whatever lets the group end soonest: to wait for a fast place, to have one freed, or to take a
+// slow place now.
+bool scheduler::place_late(waiting_group& waiting, placement_pass& pass) {
     const auto& group = waiting.group;
+    auto& room = pass.room;
+    const auto now = pass.now;
     const auto usable = room.usable(now, group.spec->estimated);
-    if (auto fast = place(group, usable, fast_only)) {
-        return fast;
-    }
     const bool urgent = waiting.job->spec.priority == 0;
     const bool due = waiting.entitled && now - waiting.job->since > options_.reclaim_timeout / 2;
-    auto slow = place(group, usable, {});
+    const auto slow = place(group, usable, {});
     if (slow && due) {
-        return slow;
-    }
-    if (urgent && make_room(waiting, room, now, fast_only)) {
-        return std::nullopt;
+        assign(waiting, *slow, pass);
+        return true;
     }
     const auto wait = earliest(group, room, now, fast_only);
+    const bool in_time = wait && can_wait_until(waiting, wait->at, now);
+    if (urgent && !in_time && make_room(waiting, pass, fast_only)) {
+        return false;
+    }
     if (slow) {
         const auto slow_end = now + std::chrono::duration_cast<duration>(group.spec->estimated *
                                                                          options_.remote_penalty);
         if (!wait || slow_end <= wait->at + group.spec->estimated) {
-            return slow;
+            assign(waiting, *slow, pass);
+            return true;
         }
     }
-    if (urgent && !slow && make_room(waiting, room, now, {})) {
-        return std::nullopt;
+    if (urgent && !in_time && !slow && make_room(waiting, pass, {})) {
+        return false;
     }
     if (wait) {
         room.reserve(group, *wait);
     } else if (const auto any = earliest(group, room, now, {})) {
         room.reserve(group, *any);
     }
-    return std::nullopt;
+    return false;
 }
 
-void scheduler::assign(const waiting_group& waiting, const std::vector<placed_task>& places,
-                       time_point now) {
+void scheduler::assign(waiting_group& waiting, const placed_tasks& places, placement_pass& pass) {
+    if (places.empty()) {
+        return;
+    }
+    auto& group = waiting.group;
     // Runs of a gang share one number, and its checkpoint is the same for all.
-    run_number run;
-    std::string checkpoint;
+    run_number gang_run;
+    std::string gang_checkpoint;
     for (const auto& placed : places) {
-        const auto ref = find({.step = waiting.group.step, .index = placed.index});
-        run = std::max(run, ref->task->run);
-        checkpoint = std::max(checkpoint, ref->task->checkpoint);
+        const auto ref = find({.step = group.step, .index = placed.index});
+        gang_run = std::max(gang_run, ref->task->run);
+        gang_checkpoint = std::max(gang_checkpoint, ref->task->checkpoint);
     }
-    run = run_number{run.get() + 1};
     for (const auto& placed : places) {
-        const task_name name{.step = waiting.group.step, .index = placed.index};
+        const task_name name{.step = group.step, .index = placed.index};
         const auto ref = find(name);
+        const auto& facts = *pass.room.left()[placed.at].facts;
+        const auto before = group.spec->gang ? gang_run : ref->task->run;
+        const run_number run{before.get() + 1};
         *ref->task = {.phase = task_phase::assigned,
                       .run = run,
-                      .place = workers_.at(placed.host).facts.life,
+                      .place = facts.life,
                       .failures = ref->task->failures,
-                      .checkpoint = checkpoint};
+                      .checkpoint = group.spec->gang ? gang_checkpoint : ref->task->checkpoint};
         *ref->extra = {.stored_run = ref->extra->stored_run,
                        .stopping = false,
                        .moved = ref->extra->moved,
                        .preempted = ref->extra->preempted,
-                       .assigned = now,
-                       .percent = 0,
-                       .percent_since = now};
+                       .assigned = pass.now,
+                       .pace = {}};
+        ref->extra->pace.restart(pass.now);
         hold(name, *ref);
         ++counts_.started;
-        touched_.insert(placed.host);
-        add_note("run-assigned", name, run, placed.host,
+        touched_.insert(facts.life.host);
+        if (group.spec->most_per_worker > 0) {
+            ++group.on_host[facts.life.host];
+        }
+        add_note("run-assigned", name, run, facts.life.host,
                  "priority " + std::to_string(waiting.job->spec.priority));
     }
+    pass.room.take(group, places);
+    std::erase_if(group.tasks, [&](std::uint32_t index) {
+        return std::any_of(places.begin(), places.end(),
+                           [&](const placed_task& one) { return one.index == index; });
+    });
     waiting.job->progress.phase = job_phase::active;
     waiting.job->dirty = true;
 }
--- a/src/baobabrack/workload/scheduler_room.cpp
+++ b/src/baobabrack/workload/scheduler_room.cpp
@@ -8,9 +8,7 @@
 
 namespace {
 
-constexpr std::uint32_t whole_percent = 100;
-// Below this much progress the estimate tells more than the progress.
-constexpr std::uint32_t telling_percent = 10;
+constexpr double whole_percent = 100;
 // A stop takes about this long until the end is known here.
 constexpr duration stop_time = std::chrono::milliseconds{300};
 // A run that saves its work loses about this much of it, in seconds.
@@ -27,64 +25,54 @@
     if (ref.extra->stopping) {
         return now + stop_time;
     }
-    const auto elapsed = now - ref.extra->assigned;
-    auto whole = ref.step->estimated;
-    if (ref.extra->percent >= telling_percent) {
-        whole = std::chrono::duration_cast<duration>(
-            (ref.extra->percent_since - ref.extra->assigned) *
-            (static_cast<double>(whole_percent) / ref.extra->percent));
+    const auto& extra = *ref.extra;
+    if (extra.pace.known() && extra.pace.current() > 0) {
+        const auto left = (whole_percent - extra.pace.percent()) / extra.pace.current();
+        return std::max(now, extra.pace.unchanged_since() + from_seconds(left));
     }
     // A run that is over its time ends at any moment.
-    return std::max(ref.extra->assigned + whole, now + elapsed / 10);
+    const auto elapsed = now - extra.assigned;
+    return std::max(extra.assigned + ref.step->estimated, now + elapsed / 10);
 }
 
 room_view scheduler::view_room(const service_id& service, time_point now) {
-    room_view room{.left = candidates_of(service, now), .releases = {}, .reserved = {}};
+    auto left = candidates_of(service, now);
+    for (auto& [host, worker] : workers_.all()) {
+        worker.position = no_position;
+    }
+    for (std::size_t at = 0; at < left.size(); ++at) {
+        workers_.at(left[at].facts->life.host).position = at;
+    }
+    std::vector<expected_release> releases;
     for (auto& [id, job] : jobs_) {
         if (job.spec.service != service) {
             continue;
         }
-        for_each_task(job, [&](const task_name&, const task_ref& ref) {
-            if (ref.task->phase == task_phase::assigned) {
-                room.releases.push_back({.at = expected_end(ref, now),
-                                         .host = ref.task->place.host,
-                                         .amount = ref.step->per_task});
+        for_each_task(job, [&](const task_ref& ref) {
+            const auto* worker = ref.extra->worker;
+            if (worker != nullptr && worker->position != no_position) {
+                releases.push_back({.at = expected_end(ref, now),
+                                    .host = worker->position,
+                                    .amount = ref.step->per_task});
             }
         });
     }
-    std::sort(room.releases.begin(), room.releases.end(),
-              [](const expected_release& left, const expected_release& right) {
-                  return left.at < right.at;
-              });
-    return room;
+    return {std::move(left), std::move(releases)};
 }
 
 // Frees room for a group of priority 0 by stopping runs of lower priority. One that its
 // workspace's guarantee entitles to the room always gets it; another one only if that throws away
 // no more work than it does itself. What is being freed is kept for the group.
-bool scheduler::make_room(const waiting_group& waiting, room_view& room, time_point now,
+bool scheduler::make_room(const waiting_group& waiting, placement_pass& pass,
                           const placement_limits& limits) {
     const auto& group = waiting.group;
-    auto free = room.left;
-    for (auto& host : free) {
-        const auto kept = room.reserved.find(host.host);
-        if (kept != room.reserved.end()) {
-            host.left = left_of(host.left, kept->second.amount);
-        }
-    }
-    for (const auto& release : room.releases) {
-        for (auto& host : free) {
-            if (host.host == release.host && release.at <= now + stop_time) {
-                host.left.add(release.amount);
-            }
-        }
-    }
-    auto found = place(group, free, limits);
-    if (found) {
-        room.reserve(group, {.at = now + stop_time, .places = std::move(*found)});
+    const auto freed_at = pass.now + stop_time;
+    const auto free = pass.room.unreserved(freed_at);
+    if (auto found = place(group, free, limits)) {
+        pass.room.reserve(group, {.at = freed_at, .places = std::move(*found)});
         return true;
     }
-    const auto victims = victims_below(waiting.job->spec.priority, waiting.job->spec.service, now);
+    const auto& victims = victims_for(waiting, pass);
     auto plan = find_preemption(group, free, victims, limits);
     const auto own_work = work_per_second(group.spec->per_task) *
                           to_seconds(group.spec->estimated) *
@@ -92,30 +80,45 @@
     if (!plan || (!waiting.entitled && plan->loss > own_work * most_loss_share)) {
         return false;
     }
-    for (const auto& one : plan->victims) {
-        stop_victim(one);
+    auto& left = pass.victims.at(waiting.job->spec.priority);
+    for (const auto number : plan->victims) {
+        stop_victim(left[number]);
+        for (const auto& [host, amount] : left[number].held) {
+            pass.room.add_release({.at = freed_at, .host = host, .amount = amount});
+        }
     }
-    room.reserve(group, {.at = now + stop_time, .places = std::move(plan->places)});
+    // From the last one on, so that the positions of the others stay.
+    for (auto each = plan->victims.rbegin(); each != plan->victims.rend(); ++each) {
+        left.erase(left.begin() + static_cast<std::ptrdiff_t>(*each));
+    }
+    pass.room.reserve(group, {.at = freed_at, .places = std::move(plan->places)});
     return true;
 }
 
-std::vector<victim> scheduler::victims_below(std::uint32_t priority, const service_id& service,
-                                             time_point now) {
-    std::vector<victim> victims;
+const std::vector<victim>& scheduler::victims_for(const waiting_group& waiting,
+                                                  placement_pass& pass) {
+    const auto priority = waiting.job->spec.priority;
+    const auto [known, added] = pass.victims.try_emplace(priority);
+    auto& victims = known->second;
+    if (!added) {
+        return victims;
+    }
     for (auto& [id, job] : jobs_) {
-        if (job.spec.priority <= priority || job.spec.service != service) {
+        if (job.spec.priority <= priority || job.spec.service != waiting.job->spec.service) {
             continue;
         }
-        std::map<step_name, victim> gangs;
-        for_each_task(job, [&](const task_name& name, const task_ref& ref) {
-            if (ref.task->phase != task_phase::assigned || ref.extra->stopping) {
+        std::map<std::pair<std::uint32_t, std::uint32_t>, victim> gangs;
+        for_each_task(job, [&](const task_ref& ref) {
+            const auto* worker = ref.extra->worker;
+            if (worker == nullptr || worker->position == no_position || ref.extra->stopping) {
                 return;
             }
             victim single;
-            auto& into = ref.step->gang ? gangs[name.step] : single;
-            into.tasks.push_back(name);
-            into.held[ref.task->place.host].add(ref.step->per_task);
-            const auto elapsed = to_seconds(now - ref.extra->assigned);
+            auto& into =
+                ref.step->gang ? gangs[std::pair{ref.occurrence, ref.step_number}] : single;
+            into.tasks.push_back(name_of(ref));
+            into.held.emplace_back(worker->position, ref.step->per_task);
+            const auto elapsed = to_seconds(pass.now - ref.extra->assigned);
             const auto saved = ref.step->checkpoints ? std::min(elapsed, saved_loss) : elapsed;
             const auto lost = saved + repeat_loss * ref.extra->preempted;
             into.loss += lost * work_per_second(ref.step->per_task);
--- a/src/baobabrack/workload/worker_table.cpp
+++ b/src/baobabrack/workload/worker_table.cpp
@@ -10,13 +10,15 @@
 
 // A task can fail by its own fault, so one failing job says nothing about the worker.
 constexpr std::size_t jobs_until_suspect = 2;
-// Between two trials of a suspect worker.
+// Between two trials of a suspect worker, and for how long one is doubtful.
 constexpr duration trial_interval = std::chrono::seconds{3};
-// Weight of a new sample of a worker's speed; estimates are off by half at times.
-constexpr double sample_weight = 0.4;
-// Below this share of the expected speed a worker is avoided: less than what an estimate that is
-// off by half and a slower kind of worker explain together.
-constexpr double slow_share = 0.22;
+// A task that fails by its own fault does so at any time of its run.
+constexpr duration quick_failure = std::chrono::milliseconds{500};
+// Weight of a new sample of a worker's speed: two slow windows in a row are needed.
+constexpr double sample_weight = 0.7;
+// Below this share of the expected speed a worker is avoided: less than what uneven tasks and a
+// slower kind of worker explain together.
+constexpr double slow_share = 0.4;
 // Without a sample for this long a worker counts as sound again.
 constexpr duration speed_memory = std::chrono::seconds{4};
 
@@ -66,27 +68,51 @@
 
 void run_record::succeeded() {
     failed_jobs_.clear();
+    last_doubt_ = {};
 }
 
-void run_record::failed(const job_id& job, time_point now) {
+bool run_record::is_quick(duration after) {
+    return after < quick_failure;
+}
+
+void run_record::failed(const job_id& job, duration after, time_point now) {
     last_failure_ = now;
+    if (is_quick(after)) {
+        last_doubt_ = now;
+    }
     if (std::find(failed_jobs_.begin(), failed_jobs_.end(), job) == failed_jobs_.end()) {
         failed_jobs_.push_back(job);
     }
 }
 
-bool run_record::suspect(time_point now) const {
-    return failed_jobs_.size() >= jobs_until_suspect && now < last_failure_ + trial_interval;
+void run_record::doubted(time_point now) {
+    last_doubt_ = now;
 }
 
-void work_speed::sample(double share, time_point now) {
+worker_standing run_record::standing(time_point now) const {
+    if (failed_jobs_.size() >= jobs_until_suspect) {
+        const bool recent = now < last_failure_ + trial_interval;
+        return recent ? worker_standing::suspect : worker_standing::on_trial;
+    }
+    const bool doubt = last_doubt_ != time_point{} && now < last_doubt_ + trial_interval;
+    return doubt ? worker_standing::doubtful : worker_standing::sound;
+}
+
+void work_speed::sample(double share, bool shared, time_point now) {
+    const bool was_slow = slow(now);
     average_ = value(now) * (1 - sample_weight) + std::min(share, 1.5) * sample_weight;
+    shared_ = shared;
     sampled_ = now;
+    slow_since_ = was_slow ? slow_since_ : now;
 }
 
 void work_speed::stalled(time_point now) {
+    sample(0, false, now);
     average_ = 0;
-    sampled_ = now;
+}
+
+duration work_speed::slow_for(time_point now) const {
+    return slow(now) ? now - slow_since_ : duration::zero();
 }
 
 double work_speed::value(time_point now) const {
