Let guards send orders again that a worker left unanswered; notice lost answers sooner

The guard itself sends such a start again under the higher token that the lost one is below, and a stop once the worker answers. Orders wait 250 ms for an answer; a hold waits 150 ms in place of 500 ms for five seconds after one was lost. A start is not given up while the worker has more ends than one answer lists.

--- a/src/baobabrack/workload/guarded_runs.cpp
+++ b/src/baobabrack/workload/guarded_runs.cpp
@@ -32,14 +32,22 @@
     resources used = needs;
     for (const auto& [key, one] : starts_) {
         if (!ended(key)) {
-            used.add(one.needs);
+            used.add(one.run.needs);
         }
     }
     return capacity.holds(used);
 }
 
-void guarded_runs::begin(const wanted_run& run) {
-    starts_[{run.task, run.run}] = {.needs = run.needs, .decided_by_hold = 0};
+void guarded_runs::begin(const wanted_run& run, unsigned tries) {
+    starts_[{run.task, run.run}] = {.run = run, .tries = tries, .decided_by_hold = 0};
+}
+
+std::optional<guarded_runs::missed_start> guarded_runs::take_back(const run_key& key) {
+    auto found = starts_.extract(key);
+    if (found.empty()) {
+        return std::nullopt;
+    }
+    return missed_start{.run = std::move(found.mapped().run), .tries = found.mapped().tries};
 }
 
 bool guarded_runs::awaits(const run_key& key) const {
@@ -58,7 +66,7 @@
 
 guarded_runs::changes guarded_runs::take(std::uint64_t hold, const hold_lists& lists,
                                          std::uint64_t ends_stored) {
-    changes found{.news = !lists_known_ || lists.runs.size() != runs_.size(), .vanished = {}};
+    changes found{.news = !lists_known_ || lists.runs.size() != runs_.size(), .missed = {}};
     runs_ = lists.runs;
     ends_ = lists.ends;
     std::erase_if(ends_, [&](const run_end& end) { return end.number <= ends_stored; });
@@ -66,12 +74,13 @@
     std::erase_if(starts_, [&](const auto& start) {
         const auto& [key, one] = start;
         const bool decided = one.decided_by_hold > 0 && one.decided_by_hold <= hold;
-        if (!decided || listed(key)) {
+        const bool conclusive = listed(key) || ended(key) || !lists.more_ends;
+        if (!decided || listed(key) || !conclusive) {
             return false;
         }
         found.news = true;
         if (!ended(key)) {
-            found.vanished.push_back(key);
+            found.missed.push_back({.run = one.run, .tries = one.tries});
         }
         return true;
     });
--- a/src/baobabrack/workload/worker_guard.cpp
+++ b/src/baobabrack/workload/worker_guard.cpp
@@ -17,7 +17,14 @@
 // Without orders for this long the leader is looked for at every seed.
 constexpr duration leader_silence = 1200ms;
 constexpr duration hold_wait = 500ms;
-constexpr duration call_timeout = 500ms;
+// After a hold got no answer the next ones wait less, so that another loss is noticed sooner.
+constexpr duration short_hold_wait = 150ms;
+constexpr duration loss_memory = 5s;
+// The worker is on this host and answers an order within some milliseconds. The other runs of a
+// gang wait for the ones whose starts got lost, so these are noticed soon.
+constexpr duration order_timeout = 250ms;
+// A start that is proved not to have happened is tried this often before the leader is told.
+constexpr unsigned most_start_tries = 4;
 // A worker that has not answered a hold for this long is taken not to answer.
 constexpr duration worker_silence = 1200ms;
 constexpr duration hold_retry = 200ms;
@@ -134,6 +141,7 @@
 void worker_guard::forget_worker() {
     runs_.clear();
     stops_sent_.clear();
+    stops_missed_.clear();
     ends_stored_ = 0;
     hold_taken_ = holds_sent_;
     hold_open_ = false;
@@ -256,25 +264,44 @@
         refuse(key, "no room beside the runs that this guard has started");
         return;
     }
+    start(run, 1);
+}
+
+// Sends a start if the lease can be extended for it.
+bool worker_guard::start(const wanted_run& run, unsigned tries) {
     const auto until = lease_.extend(loop_.now());
     if (!until) {
-        return;
+        return false;
     }
-    runs_.begin(run);
+    const run_key key{run.task, run.run};
+    runs_.begin(run, tries);
     log_event(log_level::info, "run-starting")
         .field("job", run.task.step.job.get())
         .field("task", to_text(run.task))
         .field("run", run.run.get())
+        .field("try", tries)
         .field("term", term_)
         .field("token", token_.get());
     worker_.start({.worker = facts_->life,
                    .run = run,
                    .token = token_,
                    .lease = *until,
-                   .timeout = call_timeout},
+                   .timeout = order_timeout},
                   [this, key, life = facts_->life](const call_reply& reply) {
                       start_answered(key, life, reply);
                   });
+    return true;
+}
+
+// A start that has not happened is sent again under the newest token, which the lost one is below.
+void worker_guard::start_again(const guarded_runs::missed_start& start_call,
+                               const std::string& reason) {
+    const run_key key{start_call.run.task, start_call.run.run};
+    const bool wanted = !stops_sent_.contains(key) && !facts_->draining;
+    if (!wanted || start_call.tries >= most_start_tries ||
+        !start(start_call.run, start_call.tries + 1)) {
+        refuse(key, reason);
+    }
 }
 
 void worker_guard::start_answered(const run_key& key, const worker_life& life,
@@ -303,6 +330,12 @@
             hold_open_ = false;
             hold_soon();
             break;
+        case call_end::fenced:
+            if (const auto missed = runs_.take_back(key)) {
+                raise_token(next_token);
+                start_again(*missed, std::string{to_string(reply.end)});
+            }
+            break;
         default:
             refuse(key, std::string{to_string(reply.end)});
             break;
@@ -328,18 +361,29 @@
         .field("task", to_text(run.task))
         .field("run", run.run.get())
         .field("term", term_);
-    worker_.stop({.worker = facts_->life, .run = run, .token = token_, .timeout = call_timeout},
-                 [this, life = facts_->life](const call_reply& reply) {
-                     if (!facts_ || facts_->life != life) {
-                         return;
-                     }
-                     take_clock(reply);
-                     if (reply.end == call_end::unanswered || reply.end == call_end::fenced) {
-                         stops_sent_.clear();
-                     }
+    worker_.stop({.worker = facts_->life, .run = run, .token = token_, .timeout = order_timeout},
+                 [this, run, life = facts_->life](const call_reply& reply) {
+                     stop_answered(run, life, reply);
                  });
 }
 
+void worker_guard::stop_answered(const unwanted_run& run, const worker_life& life,
+                                 const call_reply& reply) {
+    if (!facts_ || facts_->life != life) {
+        return;
+    }
+    take_clock(reply);
+    const bool missed = reply.end == call_end::unanswered || reply.end == call_end::fenced;
+    const run_key key{run.task, run.run};
+    if (!missed || !runs_.has(key)) {
+        return;
+    }
+    if (reply.end == call_end::fenced) {
+        raise_token(next_token);
+    }
+    stops_missed_.insert(key);
+}
+
 void worker_guard::refuse(const run_key& key, const std::string& reason) {
     log_event(log_level::warning, "start-refused")
         .field("job", key.first.step.job.get())
@@ -385,13 +429,15 @@
     open_hold_ = number;
     hold_sent_at_ = loop_.now();
     watch_worker();
-    const auto wait = runs_.lists_known() ? hold_wait : duration::zero();
+    const bool lossy = hold_lost_at_ != time_point{} && loop_.now() - hold_lost_at_ < loss_memory;
+    const auto usual_wait = lossy ? short_hold_wait : hold_wait;
+    const auto wait = runs_.lists_known() ? usual_wait : duration::zero();
     worker_.hold({.worker = facts_->life,
                   .token = token_,
                   .ends_seen = ends_stored_,
                   .lease = lease_.extend(loop_.now()),
                   .wait = wait,
-                  .timeout = wait + call_timeout},
+                  .timeout = wait + order_timeout},
                  [this, number, life = facts_->life](const hold_reply& reply) {
                      hold_answered(number, life, reply);
                  });
@@ -420,12 +466,14 @@
             return;
         case call_end::unanswered:
             raise_token(next_token);
+            hold_lost_at_ = loop_.now();
             break;
         default:
             break;
     }
     if (!hold_timer_.armed()) {
-        hold_timer_.arm(hold_retry, [this] { hold(); });
+        const auto spent = loop_.now() - hold_sent_at_;
+        hold_timer_.arm(std::max(duration::zero(), hold_retry - spent), [this] { hold(); });
     }
 }
 
@@ -437,10 +485,15 @@
         report();
     }
     const auto changes = runs_.take(number, reply.lists, ends_stored_);
-    for (const auto& key : changes.vanished) {
-        refuse(key, "the worker does not have it, and the token is past its start");
+    for (const auto& missed : changes.missed) {
+        start_again(missed, "the worker does not have it, and the token is past its start");
     }
     std::erase_if(stops_sent_, [&](const auto& one) { return !runs_.has(one.first); });
+    // The worker answers, so what it did not answer is worth another try.
+    for (const auto& [task, run] : std::exchange(stops_missed_, {})) {
+        stops_sent_[{task, run}] = {};
+        order_stop({.task = task, .run = run});
+    }
     if (changes.news) {
         report();
     }
--- a/src/baobabrack/workload/worker_guard.hpp
+++ b/src/baobabrack/workload/worker_guard.hpp
@@ -63,8 +63,11 @@
     void take_orders(const wire::WorkloadOrders& message);
     void follow(const wire::WorkloadOrders& message);
     void order_start(const wanted_run& run);
+    bool start(const wanted_run& run, unsigned tries);
+    void start_again(const guarded_runs::missed_start& start, const std::string& reason);
     void start_answered(const run_key& key, const worker_life& life, const call_reply& reply);
     void order_stop(const unwanted_run& run);
+    void stop_answered(const unwanted_run& run, const worker_life& life, const call_reply& reply);
     void refuse(const run_key& key, const std::string& reason);
     void hold_soon();
     void hold();
@@ -91,11 +94,14 @@
     time_point orders_at_{};
     time_point lists_at_{};
     time_point hold_sent_at_{};
+    time_point hold_lost_at_{};
     fencing_token token_;
     std::uint64_t ends_stored_ = 0;
 
     guarded_runs runs_;
     std::map<run_key, time_point> stops_sent_;
+    // Stops without an answer.
+    std::set<run_key> stops_missed_;
     std::uint64_t holds_sent_ = 0;
     std::uint64_t hold_taken_ = 0;
     bool hold_open_ = false;
