Store where the guards are, so that a new leader finds them

Ends of urgent runs were noticed up to 1.6 s late.

The leader stores the endpoint of each guard with its batches; one that takes over tells every guard at once.

Test: with stale seeds nothing ever began under the second leader before; now within 600 ms.

--- a/src/baobabrack/workload/scheduler_node.cpp
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -124,6 +124,9 @@
         take_leader(entry);
         return;
     }
+    if (guards_.take(entry.record.key, entry.record.value, entry.offset)) {
+        return;
+    }
     book_.take_progress(entry.record.key, entry.record.value, entry.offset);
 }
 
@@ -207,8 +210,10 @@
     log_event(log_level::info, "lead-taken")
         .field("term", term_.get())
         .field("open_jobs", static_cast<std::uint64_t>(scheduler_->open_jobs()));
-    for (const auto& guard : guards_) {
-        send_redirect(guard);
+    guards_.begin(now);
+    for (const auto& [host, endpoint] : guards_.endpoints()) {
+        around_.network.connect(host, endpoint);
+        send_redirect(host);
     }
     pings_.ping();
     decide();
@@ -240,7 +245,7 @@
     if (around_.loop.now() - lead_since_ >= settling_time) {
         return true;
     }
-    return sessions_.all_know(guards_);
+    return sessions_.all_know(guards_.hosts());
 }
 
 const directory* scheduler_node::usable_config() const {
@@ -284,6 +289,9 @@
     for (const auto& id : std::exchange(forgotten_, {})) {
         records.push_back({.key = std::string{progress_prefix} + id.get(), .value = ""});
     }
+    for (auto& record : guards_.take_changes(around_.loop.now())) {
+        records.push_back(std::move(record));
+    }
     const bool resigns = resigning_;
     records.push_back(leader_record(resigns));
     const auto first = writer_.end();
@@ -373,7 +381,6 @@
 
 void scheduler_node::take_report(const wire::WorkloadReport& message) {
     around_.network.connect(message.host(), message.zmq_endpoint());
-    guards_.insert(message.host());
     if (!leading()) {
         redirect(message);
         return;
@@ -382,6 +389,7 @@
     if (report == nullptr) {
         return;
     }
+    guards_.heard(message.host(), message.zmq_endpoint(), around_.loop.now());
     if (!message.worker().id().empty()) {
         scheduler_->take(*report, around_.loop.now());
     }
--- a/src/baobabrack/workload/scheduler_node.hpp
+++ b/src/baobabrack/workload/scheduler_node.hpp
@@ -11,6 +11,7 @@
 #include "baobabrack/membership/peer_network.hpp"
 #include "baobabrack/metrics/registry.hpp"
 #include "baobabrack/workload/directory_source.hpp"
+#include "baobabrack/workload/guard_directory.hpp"
 #include "baobabrack/workload/guard_sessions.hpp"
 #include "baobabrack/workload/intake_writer.hpp"
 #include "baobabrack/workload/peer_pings.hpp"
@@ -128,8 +129,7 @@
     std::vector<job_id> forgotten_;
     time_point forgot_at_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-    // Every guard that was heard, also under another leader.
-    std::set<std::string> guards_;
+    guard_directory guards_;
     std::uint64_t batches_ = 0;
     log_offset term_;
     bool claiming_ = false;
--- /dev/null
+++ b/standin/platform/worker_endpoint.hpp
@@ -0,0 +1,59 @@
+#ifndef BAOBABRACK_STANDIN_PLATFORM_WORKER_ENDPOINT_HPP
+#define BAOBABRACK_STANDIN_PLATFORM_WORKER_ENDPOINT_HPP
+
+#include <iosfwd>
+#include <nlohmann/json.hpp>
+
+#include "baobabrack/runtime/scoped_timer.hpp"
+#include "baobabrack/transport/http_client.hpp"
+#include "baobabrack/transport/http_server.hpp"
+#include "fakes/fake_guarded_worker.hpp"
+
+namespace baobabrack::standin {
+
+/// A worker of the platform: takes its guard's calls, and announces itself to the guard.
+class worker_endpoint : public http_handler, private fakes::run_listener {
+public:
+    struct options {
+        workload::host_id host;
+        rack_id rack;
+        /// Where the guard takes announcements.
+        http_endpoint guard;
+        /// As the operator's configuration names it.
+        std::string service;
+        duration run_time = std::chrono::milliseconds{900};
+        /// Gets a line for each run that begins, if set.
+        std::ostream* runs = nullptr;
+    };
+
+    worker_endpoint(options opts, runtime& loop, http_client& client);
+
+    void handle(http_request request, http_responder responder) override;
+
+private:
+    void announce();
+    void start(const nlohmann::json& body, const http_responder& responder);
+    void stop(const nlohmann::json& body, const http_responder& responder);
+    void hold(const nlohmann::json& body, const http_responder& responder);
+    void answer(const http_responder& responder, const workload::call_reply& reply,
+                nlohmann::json body) const;
+
+    void run_began(const workload::task_name& task, workload::run_number run,
+                   const workload::worker_life& where) override;
+    void run_over(const workload::task_name& /*task*/, workload::run_number /*run*/,
+                  std::optional<workload::end_kind> /*how*/) override {}
+    void end_noted(const workload::run_end& /*end*/) override {}
+    void overfull(const workload::worker_life& /*where*/) override {}
+
+    options options_;
+    runtime& loop_;
+    http_client& client_;
+    fakes::fake_guarded_worker worker_;
+    fakes::fake_worker_link link_;
+    std::uint64_t announcements_ = 0;
+    scoped_timer announce_timer_;
+};
+
+}  // namespace baobabrack::standin
+
+#endif
--- a/tests/workload/scheduler_node.tests.cpp
+++ b/tests/workload/scheduler_node.tests.cpp
@@ -110,6 +110,20 @@
     }
 }
 
+// The load: urgent jobs come all the time while the leader dies, and the guards' seeds are stale.
+TEST_CASE("Guards learn of a new leader from itself", "[workload]") {
+    workload_world world(11, {});
+    world.run_for(2s);
+    const auto dead = world.leading_scheduler();
+    world.point_guards_at(dead);
+    world.kill_scheduler(dead);
+    REQUIRE(world.run_until([&] { return world.leader() != nullptr; }, 3s));
+    const auto taken = world.loop.now();
+    REQUIRE(world.submit_at((dead + 1) % 3, job_of("j", 1, 1)));
+    REQUIRE(world.run_until([&] { return world.runs_begun == 1; }, 3s));
+    CHECK(world.loop.now() - taken < 600ms);
+}
+
 TEST_CASE("While nobody reaches the store, submissions are refused at once and for certain",
           "[workload]") {
     workload_world world(7, {});
--- a/tests/workload/workload_world.cpp
+++ b/tests/workload/workload_world.cpp
@@ -102,6 +102,12 @@
     one.link.reset();
 }
 
+void workload_world::point_guards_at(unsigned scheduler_number) {
+    for (auto& one : hosts_) {
+        one.guard->set_seeds({scheduler_name(scheduler_number)});
+    }
+}
+
 void workload_world::crash_worker(unsigned at) {
     hosts_[at].worker->crash();
 }
--- a/tests/workload/workload_world.hpp
+++ b/tests/workload/workload_world.hpp
@@ -63,6 +63,9 @@
     void start_guard(unsigned at);
     void crash_worker(unsigned at);
 
+    /// Guards know no scheduler to look for a leader at but this one.
+    void point_guards_at(unsigned scheduler_number);
+
     /// An announcement of the worker's earlier life arrives late.
     void announce_earlier_life(unsigned at);
 
