Correct run time estimates by observed runs, and preempt for less

Cause: urgent jobs at size come with estimates that are off by a factor of 2.5 (standard deviation). Change: run_time_estimates fits the run times of a queue on its estimates (in place of estimate_errors, whose bound it keeps); the estimates of open jobs are corrected before each placement. Preemption beyond a guarantee discards at most half of the job's own work (before: all of it).

Followers of a topic poll at most each 120 ms; a leader still reads submissions at once.

--- a/bench/workload_deployments.cpp
+++ b/bench/workload_deployments.cpp
@@ -156,12 +156,82 @@
     return made;
 }
 
+workload_deployment flechtal_grown() {
+    auto made = grown(flechtal(), "flechtal-grown");
+    made.per_host = amount(64, 128, accelerators_per_host);
+    made.kinds[1].estimate_error = 0.9;
+    made.kinds[2].per_task = task(5'600, 11'000);
+    return made;
+}
+
+// 160 hosts in racks of 8, and gangs of up to 76 tasks.
+workload_deployment flechtal_large() {
+    auto made = flechtal_grown();
+    made.name = "flechtal-large";
+    made.hosts = 160;
+    made.hosts_per_rack = 8;
+    made.waste_price = 0.0011;
+    made.kinds[0].width = {.mean = 13, .spread = 0.8, .most = 76};
+    made.kinds[0].per_second = 1.02;
+    made.kinds[0].waiting_at_start = 7;
+    made.kinds[1].per_second = 5.07;
+    made.kinds[1].most_attempts = 4;
+    made.kinds[2].width = {.mean = 38, .spread = 0.8, .most = 230};
+    made.kinds[2].per_second = 0.8;
+    made.kinds[2].waiting_at_start = 9;
+    return made;
+}
+
+// A repair dispatcher: all but the urgent estimates are far off.
+workload_deployment portaovivo() {
+    auto made = flechtal();
+    made.name = "portaovivo";
+    made.per_host = amount(128, 512, accelerators_per_host);
+    made.restore_s = 0.6;
+    made.waste_price = 0.0023;
+    for (auto& kind : made.kinds) {
+        kind.most_attempts = 2;
+        kind.uneven = 0.3;
+        kind.estimate_error = 0.9;
+    }
+    made.kinds[0].run_s.mean = 6.8;
+    made.kinds[0].per_second = 0.51;
+    made.kinds[0].per_task = task(52'000, 210'000);
+    made.kinds[0].late_worth = 0.9;
+    made.kinds[1].width.mean = 3.4;
+    made.kinds[1].per_second = 0.47;
+    made.kinds[1].per_task = task(15'000, 79'000);
+    made.kinds[1].estimate_error = 0.5;
+    made.kinds[2].per_task = task(11'000, 59'000);
+    made.kinds[2].late_worth = 0.3;
+    return made;
+}
+
+workload_deployment portaovivo_grown() {
+    auto made = grown(portaovivo(), "portaovivo-grown");
+    made.hosts = 57;
+    made.per_host = amount(128, 256, accelerators_per_host);
+    made.restore_s = 0.6;
+    made.stop_s = 0.2;
+    made.waste_price = 0.00097;
+    made.kinds[0].width.mean = 5.9;
+    made.kinds[0].run_s.mean = 6.8;
+    made.kinds[0].per_second = 0.93;
+    made.kinds[0].per_task = task(52'000, 75'000);
+    made.kinds[0].estimate_error = 0.9;
+    made.kinds[1].width.mean = 5.4;
+    made.kinds[1].per_second = 1.79;
+    made.kinds[1].per_task = task(15'000, 22'000);
+    made.kinds[1].estimate_error = 0.2;
+    made.kinds[2].width.mean = 39;
+    made.kinds[2].per_second = 0.27;
+    made.kinds[2].per_task = task(11'000, 23'000);
+    return made;
+}
+
 std::vector<workload_deployment> all_deployments() {
-    auto flechtal_grown = grown(flechtal(), "flechtal-grown");
-    flechtal_grown.per_host = amount(64, 128, accelerators_per_host);
-    flechtal_grown.kinds[1].estimate_error = 0.9;
-    flechtal_grown.kinds[2].per_task = task(5'600, 11'000);
-    return {flechtal(), nibworks(), flechtal_grown, grown(nibworks(), "nibworks-grown")};
+    return {flechtal(),       nibworks(),   flechtal_grown(),  grown(nibworks(), "nibworks-grown"),
+            flechtal_large(), portaovivo(), portaovivo_grown()};
 }
 
 }  // namespace
--- a/src/baobabrack/keyed/topic_follower.cpp
+++ b/src/baobabrack/keyed/topic_follower.cpp
@@ -106,10 +106,13 @@
         confirmed_ = std::max(confirmed_.value_or(as_of), as_of);
     }
     on_batch_();
-    if (delivered || loop_.now() - sent_at >= options_.poll_wait / 2) {
-        poll();
+    const bool waited_for_records = delivered || loop_.now() - sent_at >= options_.poll_wait / 2;
+    const auto pause = waited_for_records ? sent_at + options_.min_poll_interval - loop_.now()
+                                          : options_.retry_delay;
+    if (pause > duration::zero()) {
+        retry_timer_.arm(pause, [this] { poll(); });
     } else {
-        retry_timer_.arm(options_.retry_delay, [this] { poll(); });
+        poll();
     }
 }
 
--- a/src/baobabrack/keyed/topic_follower.hpp
+++ b/src/baobabrack/keyed/topic_follower.hpp
@@ -23,6 +23,9 @@
         /// Time for a reply in addition to the wait; on expiry the connection is replaced.
         duration answer_timeout = std::chrono::milliseconds{800};
         duration retry_delay = std::chrono::milliseconds{100};
+        /// Minimum time between the starts of two polls. Records that arrive meanwhile share one
+        /// reply, which saves calls where many processes follow a topic that changes often.
+        duration min_poll_interval{};
         /// Maximum delay between attempts while the store does not reply.
         duration max_retry_delay = std::chrono::milliseconds{300};
     };
@@ -43,6 +46,9 @@
     /// Resumes polling from the given offset, or from `next_offset` if that is higher.
     void resume(log_offset from);
 
+    /// Changes the minimum time between the starts of two polls, from the next poll on.
+    void set_min_poll_interval(duration interval) { options_.min_poll_interval = interval; }
+
     /// @return the offset at which the next poll starts
     log_offset next_offset() const { return next_offset_; }
 
--- a/src/baobabrack/workload/scheduler.cpp
+++ b/src/baobabrack/workload/scheduler.cpp
@@ -37,6 +37,7 @@
         return;
     }
     insert_job({.spec = job.spec,
+                .declared_run_times = {},
                 .progress = job.progress,
                 .cancelled = job.cancelled,
                 .added_at = now,
@@ -74,6 +75,9 @@
 }
 
 void scheduler::insert_job(open_job job) {
+    for (const auto& step : job.spec.steps) {
+        job.declared_run_times.push_back(step.estimated);
+    }
     if (job.spec.occurrences == 0 && job.progress.occurrences.empty()) {
         job.progress.occurrences.push_back(new_occurrence(job.spec, 0));
     }
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -9,10 +9,10 @@
 #include <vector>
 
 #include "baobabrack/workload/capacity_forecast.hpp"
-#include "baobabrack/workload/estimate_errors.hpp"
 #include "baobabrack/workload/job_table.hpp"
 #include "baobabrack/workload/preemption.hpp"
 #include "baobabrack/workload/progress_rate.hpp"
+#include "baobabrack/workload/run_time_estimates.hpp"
 #include "baobabrack/workload/worker_table.hpp"
 #include "baobabrack/workload/workload_config.hpp"
 
@@ -210,7 +210,10 @@
         progress_rate measured_rate;
     };
     struct open_job {
+        /// Its run time estimates are corrected as runs of the queue end.
         job_spec spec;
+        /// The estimates that were given with the job, by step.
+        std::vector<duration> declared_run_times;
         job_progress progress;
         bool cancelled = false;
         /// A task has used up its attempts. The job ends once its running tasks have stopped.
@@ -280,6 +283,7 @@
     void move_from_slow_worker(const task_name& name, const task_ref& ref, time_point now);
     template <typename Action>
     void for_each_task(open_job& job, Action action);
+    void correct_run_times();
     void update_jobs(wall_time wall_now);
     void update_job(open_job& job, wall_time wall_now);
     void open_due_occurrences(open_job& job, wall_time wall_now);
@@ -326,7 +330,7 @@
     bool capacity_changed_ = true;
     time_point last_placement_{};
     config_version last_placement_config_;
-    estimate_errors estimate_errors_;
+    run_time_estimates run_times_;
     scheduler_counts counts_;
 };
 
--- a/src/baobabrack/workload/scheduler_capacity.cpp
+++ b/src/baobabrack/workload/scheduler_capacity.cpp
@@ -17,8 +17,9 @@
 // that has just been restarted always has the least work to lose, is preempted again and never
 // ends.
 constexpr double repeat_loss = 1.0;
-// A job that is not entitled to preempt may discard this multiple of its own work.
-constexpr double max_loss_ratio = 1;
+// A job that is not entitled to preempt may discard this share of its own work. What is discarded
+// has to run again, and delays work that waits behind it.
+constexpr double max_loss_ratio = 0.5;
 
 }  // namespace
 
@@ -63,8 +64,8 @@
 }
 
 // Preempts runs of lower priority for a group of priority 0 and reserves the freed capacity for it.
-// Always does so for a group within its workspace's guarantee; for other groups only if no more
-// work is lost than the group itself amounts to.
+// Always does so for a group within its workspace's guarantee; for other groups only if the lost
+// work is small against that of the group.
 bool scheduler::preempt_for(const waiting_group& waiting, placement_pass& pass,
                             const placement_constraints& limits) {
     const auto& group = waiting.group;
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -72,6 +72,7 @@
     if (config == nullptr || !placement_due(*config, now)) {
         return;
     }
+    correct_run_times();
     auto groups = collect_waiting_groups(*config, now, wall_now);
     place_groups(groups, now);
 }
@@ -87,6 +88,15 @@
     return true;
 }
 
+void scheduler::correct_run_times() {
+    for (auto& [id, job] : jobs_) {
+        for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
+            job.spec.steps[step].estimated =
+                run_times_.expected(job.spec.queue, job.declared_run_times[step]);
+        }
+    }
+}
+
 void scheduler::update_jobs(wall_time wall_now) {
     for (auto entry = jobs_.begin(); entry != jobs_.end();) {
         auto& job = entry->second;
--- a/src/baobabrack/workload/scheduler_node.cpp
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -17,6 +17,9 @@
 constexpr std::string_view leader_key = "leader";
 
 constexpr duration tick_interval = 100ms;
+// Schedulers that do not lead read the topics at most this often. Callers see the state of a job at
+// most this much later, and the calls to the store do not grow with the number of decisions.
+constexpr duration follower_poll_interval = 120ms;
 // Metrics are scraped every few seconds.
 constexpr duration metrics_interval = 1s;
 constexpr duration cleanup_interval = 1s;
@@ -51,8 +54,10 @@
 scheduler_node::scheduler_node(options opts, dependencies deps)
     : options_(std::move(opts)),
       deps_(deps),
-      intake_(deps.loop, deps.log, {.topic = intake_topic}),
-      progress_(deps.loop, deps.log, {.topic = progress_topic}),
+      intake_(deps.loop, deps.log,
+              {.topic = intake_topic, .min_poll_interval = follower_poll_interval}),
+      progress_(deps.loop, deps.log,
+                {.topic = progress_topic, .min_poll_interval = follower_poll_interval}),
       writer_(deps.loop, deps.log, {.topic = progress_topic}),
       pings_({.id = options_.id, .zmq_endpoint = options_.zmq_endpoint, .seeds = options_.seeds},
              deps.loop, deps.network),
@@ -205,6 +210,8 @@
     leader_endpoint_ = options_.zmq_endpoint;
     leader_resigned_ = false;
     leader_since_ = now;
+    // A leader reads submissions as soon as they are stored.
+    intake_.set_min_poll_interval({});
     sessions_.begin_term(term_.get());
     progress_deletions_.clear();
     scheduler_ = std::make_unique<scheduler>(options_.scheduling);
@@ -238,6 +245,7 @@
 void scheduler_node::step_down(const std::string& reason) {
     log_event(log_level::warning, "lead-lost").field("term", term_.get()).field("reason", reason);
     scheduler_.reset();
+    intake_.set_min_poll_interval(follower_poll_interval);
     decide_timer_.cancel();
     leader_last_seen_ = deps_.loop.now();
     progress_.resume(writer_.end());
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -128,8 +128,8 @@
     const bool leads_gang = ref.index == 0 || !ref.step->gang;
     if (from_start && leads_gang && has_fast_placement(ref) &&
         !ref.state->worker->speed.is_slow(now)) {
-        estimate_errors_.add(ref.job->spec.queue, ref.step->estimated,
-                             now - ref.state->assigned_at);
+        run_times_.add(ref.job->spec.queue, ref.job->declared_run_times[ref.step_number],
+                       now - ref.state->assigned_at);
     }
 }
 
@@ -250,9 +250,10 @@
         return measured.fastest();
     }
     auto rate = std::max(measured.fastest(), sibling_rate(ref));
-    const auto factor = estimate_errors_.upper_factor(ref.job->spec.queue);
-    if (factor && ref.step->estimated > duration::zero()) {
-        rate = std::max(rate, full_percent / (to_seconds(ref.step->estimated) * *factor));
+    const auto longest =
+        run_times_.upper_bound(ref.job->spec.queue, ref.job->declared_run_times[ref.step_number]);
+    if (longest) {
+        rate = std::max(rate, full_percent / to_seconds(*longest));
     }
     return rate;
 }
--- a/tests/keyed/conditional_writer.tests.cpp
+++ b/tests/keyed/conditional_writer.tests.cpp
@@ -123,3 +123,57 @@
     CHECK(delivered == std::vector<std::string>{"1", "2"});
     CHECK(follower.next_offset() == log_offset{2});
 }
+
+namespace {
+
+/// Counts the polls that reach a store.
+class counting_log : public keyed_log {
+public:
+    explicit counting_log(keyed_log& log) : log_(log) {}
+    void append(keyed_append request, append_callback done) override {
+        log_.append(std::move(request), std::move(done));
+    }
+    void read(const topic_id& from, log_offset offset, duration wait, duration timeout,
+              page_callback done) override {
+        ++polls;
+        log_.read(from, offset, wait, timeout, std::move(done));
+    }
+    void list_newest(const topic_id& from, const std::string& after, duration timeout,
+                     page_callback done) override {
+        log_.list_newest(from, after, timeout, std::move(done));
+    }
+
+    int polls = 0;
+
+private:
+    keyed_log& log_;
+};
+
+}  // namespace
+
+// A leader that stores a decision every 10 ms caused as many calls at every other scheduler.
+TEST_CASE("The polls of a follower do not grow with the number of records", "[follower]") {
+    virtual_runtime loop(9);
+    fakes::fake_store store(loop);
+    fakes::fake_store_link link(loop, store);
+    counting_log log(link);
+    topic_follower follower(loop, log, {.topic = topic, .min_poll_interval = 120ms});
+    std::size_t delivered = 0;
+    follower.start([&](const keyed_entry& /*entry*/) { ++delivered; }, [] {});
+    loop.run_for(1s);
+    log.polls = 0;
+    for (int record = 0; record < 200; ++record) {
+        store.append(other_writer_append(std::to_string(record)));
+        loop.run_for(10ms);
+    }
+    loop.run_for(200ms);
+    CHECK(delivered == 200);
+    CHECK(log.polls <= 20);
+    SECTION("and without a minimum interval a record is delivered at once") {
+        follower.set_min_poll_interval({});
+        loop.run_for(1s);
+        store.append(other_writer_append("last"));
+        loop.run_for(30ms);
+        CHECK(delivered == 201);
+    }
+}
