Never reuse a connection whose idle time has reached its limit

Cause: the comparison admitted a connection whose age equals the limit, so with a limit of 0 one that answered in the same microsecond was reused for a request that is not idempotent.

--- a/src/baobabrack/transport/http_client.cpp
+++ b/src/baobabrack/transport/http_client.cpp
@@ -115,7 +115,7 @@
         destroy_later(std::move(from.idle.back()));
         from.idle.pop_back();
     }
-    if (!from.idle.empty() && from.idle.back()->last_response_time() >= oldest) {
+    if (!from.idle.empty() && from.idle.back()->last_response_time() > oldest) {
         auto connection = std::move(from.idle.back());
         from.idle.pop_back();
         return connection;
--- a/src/baobabrack/transport/http_client.hpp
+++ b/src/baobabrack/transport/http_client.hpp
@@ -34,7 +34,7 @@
         duration acknowledge_timeout = std::chrono::seconds{5};
         /// Maximum time since the last response for reusing an idle connection.
         duration idle_limit = std::chrono::seconds{10};
-        /// As `idle_limit`, for requests that are not idempotent; beyond it they use a new
+        /// As `idle_limit`, for requests that are not idempotent; from it on they use a new
         /// connection.
         duration non_idempotent_idle_limit = std::chrono::milliseconds{100};
         /// Whether endpoints may have host names, whose resolution blocks the event loop.
