--- a/src/baobabrack/workload/job_table.cpp
+++ b/src/baobabrack/workload/job_table.cpp
@@ -110,7 +110,9 @@
     if (value.empty()) {
         return;
     }
-    if (!parse(record, value)) {
+    // An unknown state comes from another writer or a newer version, and would end or reopen the
+    // job.
+    if (!parse(record, value) || !wire::WorkloadProgress::State_IsValid(record.state())) {
         ++unreadable_records_;
         return;
     }
--- a/tests/workload/job_table.tests.cpp
+++ b/tests/workload/job_table.tests.cpp
@@ -58,6 +58,16 @@
     CHECK(table.jobs().empty());
 }
 
+TEST_CASE("Progress with an unknown state is counted and leaves the job as it was", "[job_table]") {
+    job_table table;
+    table.apply_intake("job/j", record_of(job_of("j", 1, 1)), log_offset{1});
+    wire::WorkloadProgress record;
+    record.set_state(static_cast<wire::WorkloadProgress::State>(77));
+    table.apply_progress("progress/j", record.SerializeAsString(), log_offset{2});
+    CHECK(table.unreadable_records() == 1);
+    CHECK(table.find(job_id{"j"})->progress.phase == job_phase::queued);
+}
+
 TEST_CASE("Only jobs without a started task count as pending", "[job_table]") {
     job_table table;
     table.apply_intake("job/a", record_of(job_of("a", 1, 1)), log_offset{1});
