Log crashes of workers with how long each of their runs lasted

run-lost said only that a newer instance runs on the host, so the logs could not tell a task that crashes its workers from a host at fault. The leader now writes worker-crashed with the runs and the time for which each was listed, counts crashes in a metric, and reports carry whether a run is listed or its start is pending. No decision changes.

--- a/src/baobabrack/workload/guarded_runs.cpp
+++ b/src/baobabrack/workload/guarded_runs.cpp
@@ -96,7 +96,7 @@
     report.runs = runs_;
     for (const auto& [key, start] : starts_) {
         if (!is_listed(key) && !has_ended(key)) {
-            report.runs.push_back({.task = key.first, .run = key.second});
+            report.runs.push_back({.task = key.first, .run = key.second, .listed = false});
         }
     }
     report.ends = ends_;
--- a/src/baobabrack/workload/report_codec.cpp
+++ b/src/baobabrack/workload/report_codec.cpp
@@ -67,7 +67,8 @@
         report.runs.push_back({.task = from_wire(run.task()),
                                .run = run_number{run.run()},
                                .checkpoint = run.checkpoint(),
-                               .percent = run.percent()});
+                               .percent = run.percent(),
+                               .listed = run.listed()});
     }
     for (const auto& end : message.ends()) {
         report.ends.push_back({.sequence = end.number(),
@@ -97,6 +98,7 @@
         encoded.set_run(run.run.get());
         encoded.set_checkpoint(run.checkpoint);
         encoded.set_percent(run.percent);
+        encoded.set_listed(run.listed);
     }
     for (const auto& end : report.ends) {
         auto& encoded = *message.add_ends();
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -46,6 +46,8 @@
     run_number run;
     std::string checkpoint;
     std::uint32_t percent = 0;
+    /// The worker has listed the run; otherwise its start may still be pending.
+    bool listed = true;
 };
 
 /// The runs that a worker lists when its lease is renewed.
@@ -124,6 +126,8 @@
     std::uint64_t lost = 0;
     std::uint64_t refused = 0;
     std::uint64_t preempted = 0;
+    /// Crashes of workers that had runs.
+    std::uint64_t worker_crashes = 0;
 };
 
 /// Decides where each task runs.
@@ -207,6 +211,10 @@
         /// How often runs of the task have been preempted.
         std::uint32_t preemption_count = 0;
         time_point assigned_at{};
+        /// When the worker's lists first and last contained the current run; zero if they have
+        /// not.
+        time_point listed_since{};
+        time_point listed_until{};
         progress_rate measured_rate;
     };
     struct open_job {
@@ -268,6 +276,10 @@
     void apply_refusal(const refused_run& refusal, const worker_instance& place, time_point now);
     void apply_runs(const worker_report& report, time_point now);
     void mark_runs_lost(const worker_instance& place, const std::string& why);
+    std::vector<task_ref> runs_of_other_instances(const worker_instance& place);
+    void handle_worker_crash(worker_state& worker, const worker_instance& current,
+                             const std::string& sign);
+    duration confirmed_run_time(const task_ref& ref) const;
     void requeue_task(const task_name& name, const task_ref& ref, const std::string& checkpoint);
     void stop_run(const task_name& name, const task_ref& ref, const std::string& why);
     void check_progress(const task_name& name, const reported_run& run, const task_ref& ref,
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -470,6 +470,8 @@
                        .moved = ref->state->moved,
                        .preemption_count = ref->state->preemption_count,
                        .assigned_at = pass.now,
+                       .listed_since = {},
+                       .listed_until = {},
                        .measured_rate = {}};
         ref->state->measured_rate.restart(pass.now);
         allocate_run(name, *ref);
--- a/src/baobabrack/workload/scheduler_node.cpp
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -462,7 +462,9 @@
 void scheduler_node::log_decisions() {
     for (const auto& decision : scheduler_->drain_decision_events()) {
         log_event event(log_level::info, decision.event);
-        event.field("job", decision.task.step.job.get());
+        if (!decision.task.step.job.get().empty()) {
+            event.field("job", decision.task.step.job.get());
+        }
         if (decision.run.get() > 0) {
             event.field("task", to_text(decision.task)).field("run", decision.run.get());
         }
@@ -509,6 +511,10 @@
     set("lost", counts.lost);
     set("refused", counts.refused);
     set("preempted", counts.preempted);
+    metrics
+        .get_gauge("baobabrack_worker_crashes",
+                   "Crashes of workers that had runs, under this leader")
+        .set(static_cast<double>(counts.worker_crashes));
     metrics.get_gauge("baobabrack_open_jobs", "Jobs that have not ended")
         .set(static_cast<double>(scheduler_->open_jobs()));
 }
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -585,3 +585,26 @@
         CHECK(fixture.run_count("h1", "j") == 1);
     }
 }
+
+TEST_CASE("A crash of a worker is logged with the time that each of its runs has lasted",
+          "[scheduler]") {
+    scheduler_fixture fixture;
+    fixture.add_worker("h1");
+    fixture.submit(job_of("old", 1, 1));
+    for (int pass = 0; pass < 20; ++pass) {
+        fixture.run_pass();
+    }
+    fixture.submit(job_of("young", 1, 1));
+    fixture.run_pass();
+    auto& report = fixture.reports["h1"];
+    report.facts.instance.version = incarnation{2};
+    report.runs.clear();
+    fixture.subject.drain_decision_events();
+    fixture.subject.handle_report(report, fixture.now);
+    const auto events = fixture.subject.drain_decision_events();
+    REQUIRE_FALSE(events.empty());
+    CHECK(events.front().event == "worker-crashed");
+    CHECK(events.front().detail.find("old.0.0.0 after 1900 ms") != std::string::npos);
+    CHECK(events.front().detail.find("young.0.0.0 after 0 ms") != std::string::npos);
+    CHECK(fixture.subject.counts().worker_crashes == 1);
+}
