Reproduce the endless restarts of a task that crashes its workers

Fakes: a worker can be crashed by a task, at its start or some time after it, and stays down for a while; a fake worker's capacity can change. The cases ask for the rule's bound, no sixth start (a third start after three crashes), and for sound work to go on.

--- a/scenarios/fakes/fake_guarded_worker.cpp
+++ b/scenarios/fakes/fake_guarded_worker.cpp
@@ -46,7 +46,7 @@
             .draining = draining};
 }
 
-void fake_guarded_worker::crash() {
+void fake_guarded_worker::crash(duration restart_time) {
     for (const auto& [key, run] : runs_) {
         listener_.run_ended(key.first, key.second, std::nullopt);
     }
@@ -57,9 +57,48 @@
     highest_token_ = {};
     lease_ms_ = 0;
     instance_started_at_ = loop_.now();
+    down_until_ = loop_.now() + restart_time;
     ++version_;
 }
 
+void fake_guarded_worker::set_capacity(const resources& capacity) {
+    earlier_capacities_.emplace_back(loop_.now(), options_.capacity);
+    options_.capacity = capacity;
+}
+
+// A capacity that has shrunk counts once there was time to announce it.
+bool fake_guarded_worker::is_over_capacity() const {
+    auto capacity = options_.capacity;
+    for (const auto& [until, earlier] : earlier_capacities_) {
+        if (until + options_.capacity_notice > loop_.now()) {
+            capacity.cpu = std::max(capacity.cpu, earlier.cpu);
+            capacity.memory = std::max(capacity.memory, earlier.memory);
+            capacity.accelerators = std::max(capacity.accelerators, earlier.accelerators);
+        }
+    }
+    resources used;
+    for (const auto& [key, run] : runs_) {
+        used.add(run.needs);
+    }
+    return !capacity.can_fit(used);
+}
+
+void fake_guarded_worker::crash_if_task_does(const run_key& key) {
+    const auto delay = options_.crash_delay ? options_.crash_delay(key.first) : std::nullopt;
+    if (!delay) {
+        return;
+    }
+    if (*delay == duration::zero()) {
+        crash(options_.restart_time);
+        return;
+    }
+    loop_.schedule(*delay, [this, key, version = version_] {
+        if (version == version_ && runs_.contains(key)) {
+            crash(options_.restart_time);
+        }
+    });
+}
+
 bool fake_guarded_worker::fenced(workload::fencing_token token) {
     if (token < highest_token_) {
         return true;
@@ -156,11 +195,7 @@
     }
     runs_[key] = {.needs = call.run.needs, .started_at = loop_.now()};
     listener_.run_started(key.first, key.second, facts().instance);
-    resources used;
-    for (const auto& [other_key, run] : runs_) {
-        used.add(run.needs);
-    }
-    if (!options_.capacity.can_fit(used)) {
+    if (is_over_capacity()) {
         listener_.over_capacity(facts().instance);
     }
     const auto outcome = active_faults.fail_all_runs ? run_outcome::failed : run_outcome::done;
@@ -168,6 +203,7 @@
         std::chrono::duration_cast<duration>(options_.run_time * active_faults.slowdown);
     loop_.schedule(time,
                    [this, key, outcome, version = version_] { end_run(key, outcome, version); });
+    crash_if_task_does(key);
     return reply(call_outcome::accepted);
 }
 
@@ -204,11 +240,12 @@
     auto& loop = worker_.loop();
     const auto chance =
         static_cast<double>(loop.random() % std::uint64_t{1'000'000}) / chance_scale;
-    if (!worker_.active_faults.silent && chance >= worker_.active_faults.late_calls) {
+    const bool silent = worker_.active_faults.silent || worker_.is_down();
+    if (!silent && chance >= worker_.active_faults.late_calls) {
         return false;
     }
     schedule_if_alive(timeout, unanswered);
-    if (!worker_.active_faults.silent) {
+    if (!silent) {
         // The worker carries out the call even if the guard no longer exists.
         loop.schedule(std::chrono::milliseconds{loop.random() % max_late_ms},
                       std::move(late_effect));
@@ -228,6 +265,11 @@
 
 void fake_worker_link::wait_for_end(const renew_call& call, time_point until,
                                     const std::function<void(workload::renew_reply)>& done) {
+    if (worker_.is_down()) {
+        schedule_if_alive(call.timeout,
+                          [done] { done({.reply = {.outcome = call_outcome::unanswered}}); });
+        return;
+    }
     const auto answer = worker_.renew(call);
     const bool keep_waiting = answer.reply.outcome == call_outcome::accepted &&
                               answer.lists.ends.empty() && worker_.loop().now() < until;
@@ -246,9 +288,18 @@
                          [&worker = worker_, call] { worker.start(call); })) {
         return;
     }
-    schedule_if_alive(call_delay, [this, call, done] {
+    schedule_if_alive(call_delay, [this, call, done, unanswered] {
+        if (worker_.is_down()) {
+            schedule_if_alive(call.timeout, unanswered);
+            return;
+        }
         const auto answer = worker_.start(call);
-        schedule_if_alive(call_delay, [done, answer] { done(answer); });
+        // The run may have crashed the worker before it answered.
+        if (worker_.is_down()) {
+            schedule_if_alive(call.timeout, unanswered);
+        } else {
+            schedule_if_alive(call_delay, [done, answer] { done(answer); });
+        }
     });
 }
 
--- a/scenarios/fakes/fake_guarded_worker.hpp
+++ b/scenarios/fakes/fake_guarded_worker.hpp
@@ -32,7 +32,7 @@
     /// acknowledged that it is stored.
     virtual void end_acknowledged(const workload::ended_run& end) = 0;
 
-    /// Called when the runs of a worker need more resources than it has.
+    /// Called when a start makes the runs of a worker need more resources than it has announced.
     virtual void over_capacity(const workload::worker_instance& instance) = 0;
 };
 
@@ -47,6 +47,12 @@
         /// Duration of a run without faults.
         duration run_time = std::chrono::milliseconds{900};
         duration stop_time = std::chrono::milliseconds{150};
+        /// Time until the worker is back after a run has crashed it.
+        duration restart_time = std::chrono::seconds{3};
+        /// Time for which a start may still rely on the capacity before it shrank.
+        duration capacity_notice = std::chrono::milliseconds{3700};
+        /// Returns how long after its start a run of the task crashes the worker, if it does.
+        std::function<std::optional<duration>(const workload::task_name&)> crash_delay;
     };
     struct faults {
         /// Share of the calls that time out and are carried out up to six seconds later.
@@ -69,7 +75,15 @@
     bool draining = false;
 
     /// Drops all runs, ended runs, the lease and the fencing token; continues as a new instance.
-    void crash();
+    ///
+    /// @param restart_time how long the new instance takes to respond
+    void crash(duration restart_time = {});
+
+    /// @return whether the worker has crashed and is not back yet
+    bool is_down() const { return loop_.now() < down_until_; }
+
+    void set_capacity(const resources& capacity);
+    const resources& capacity() const { return options_.capacity; }
 
     workload::worker_facts facts() const;
     workload::worker_time clock() const;
@@ -98,12 +112,17 @@
     void check_lease();
     void end_run(const run_key& key, workload::run_outcome outcome, std::uint64_t version);
     std::uint32_t percent(const active_run& run) const;
+    bool is_over_capacity() const;
+    void crash_if_task_does(const run_key& key);
 
     options options_;
     runtime& loop_;
     run_listener& listener_;
     std::uint64_t version_ = 1;
     time_point instance_started_at_{};
+    time_point down_until_{};
+    /// Earlier capacities, each with the time at which it ended.
+    std::vector<std::pair<time_point, resources>> earlier_capacities_;
     workload::fencing_token highest_token_;
     std::int64_t lease_ms_ = 0;
     std::map<run_key, active_run> runs_;
--- /dev/null
+++ b/tests/workload/crashing_tasks.tests.cpp
@@ -0,0 +1,229 @@
+// Tasks that crash the workers on which they start, and crashes by other causes.
+#include <catch2/catch.hpp>
+
+#include "workload/simulated_cluster.hpp"
+
+using namespace baobabrack;
+using namespace baobabrack::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A task must not start a third time after three workers have crashed under it.
+constexpr unsigned max_starts = 5;
+
+const workload::task_name crashing_task{.step = {.job = job_id{"crashing"}}};
+
+workload::job_spec long_job(const std::string& id, std::uint32_t tasks, std::uint32_t accelerators,
+                            bool gang = false) {
+    auto job = job_of(id, tasks, accelerators, gang);
+    job.steps.front().estimated = 4s;
+    return job;
+}
+
+/// A cluster in which the first task of the job "crashing" crashes its workers.
+class crashing_cluster : public simulated_cluster {
+public:
+    explicit crashing_cluster(duration crash_delay, std::uint64_t seed = 1)
+        : simulated_cluster(seed, {.hosts = 6, .run_time = 4s}) {
+        crashing_tasks[crashing_task] = crash_delay;
+        run_for(2s);
+    }
+
+    bool given_up() { return phase("crashing") == workload::job_phase::failed; }
+
+    /// Runs until the crashing task has started this often.
+    bool run_until_starts(unsigned starts) {
+        return run_until([&] { return runs_of[crashing_task] >= starts; }, 30s);
+    }
+};
+
+}  // namespace
+
+TEST_CASE("A task that crashes every worker is given up before its sixth start",
+          "[workload][crashes][known-red]") {
+    const auto delay = GENERATE(0ms, 10ms, 400ms, 2000ms, 3500ms);
+    INFO("crash " << delay.count() << " ms after the start");
+    crashing_cluster cluster(delay);
+    auto job = long_job("crashing", 1, 1);
+    SECTION("as a task by itself") {
+    }
+    SECTION("as a member of a gang") {
+        job = long_job("crashing", 3, 4, true);
+    }
+    SECTION("as one of several tasks") {
+        job = long_job("crashing", 6, 1);
+    }
+    SECTION("as a lasting task") {
+        job.steps.front().long_running = true;
+    }
+    SECTION("as an urgent task") {
+        job.priority = 0;
+    }
+    REQUIRE(cluster.submit(job));
+    CHECK(cluster.run_until([&] { return cluster.given_up(); }, 60s));
+    cluster.run_for(10s);
+    CHECK(cluster.runs_of[crashing_task] >= 2);
+    CHECK(cluster.runs_of[crashing_task] <= max_starts);
+    CHECK(cluster.violations.empty());
+}
+
+TEST_CASE("Sound jobs complete beside a task that crashes its workers",
+          "[workload][crashes][known-red]") {
+    const auto seed = GENERATE(range(1, 11));
+    const auto delay = GENERATE(10ms, 2000ms);
+    INFO("seed " << seed << ", crash " << delay.count() << " ms after the start");
+    crashing_cluster cluster(delay, static_cast<std::uint64_t>(seed));
+    std::vector<std::string> sound;
+    for (int number = 0; number < 8; ++number) {
+        const bool gang = cluster.loop.random() % 3 == 0;
+        sound.push_back("sound-" + std::to_string(number));
+        auto job = long_job(sound.back(), 1 + cluster.loop.random() % 4,
+                            1 + cluster.loop.random() % 3, gang);
+        job.priority = static_cast<std::uint32_t>(cluster.loop.random() % 2);
+        REQUIRE(cluster.submit(job));
+        if (number == 3) {
+            REQUIRE(cluster.submit(long_job("crashing", 1, 1)));
+        }
+        cluster.run_for(std::chrono::milliseconds{cluster.loop.random() % 800});
+    }
+    const auto all_done = [&] {
+        return std::all_of(sound.begin(), sound.end(),
+                           [&](const std::string& id) { return cluster.completed(id); });
+    };
+    CHECK(cluster.run_until(all_done, 60s));
+    CHECK(cluster.run_until([&] { return cluster.given_up(); }, 60s));
+    CHECK(cluster.runs_of[crashing_task] <= max_starts);
+    CHECK(cluster.violations.empty());
+}
+
+TEST_CASE("Crashes under a task are counted across new leaders", "[workload][crashes][known-red]") {
+    crashing_cluster cluster(10ms);
+    REQUIRE(cluster.submit(long_job("crashing", 1, 1)));
+    for (unsigned starts = 1; starts <= max_starts && !cluster.given_up(); ++starts) {
+        if (!cluster.run_until_starts(starts)) {
+            break;
+        }
+        const auto leader = cluster.leader_index();
+        cluster.kill_scheduler(leader);
+        cluster.run_for(1500ms);
+        cluster.start_scheduler(leader);
+    }
+    CHECK(cluster.run_until([&] { return cluster.given_up(); }, 30s));
+    CHECK(cluster.runs_of[crashing_task] <= max_starts);
+    CHECK(cluster.violations.empty());
+}
+
+TEST_CASE("Crashes under a task are counted across restarts of the guards",
+          "[workload][crashes][known-red]") {
+    crashing_cluster cluster(10ms);
+    REQUIRE(cluster.submit(long_job("crashing", 1, 1)));
+    for (unsigned starts = 1; starts <= max_starts && !cluster.given_up(); ++starts) {
+        if (!cluster.run_until_starts(starts)) {
+            break;
+        }
+        for (unsigned host = 0; host < 6; ++host) {
+            cluster.kill_guard(host);
+            cluster.start_guard(host);
+        }
+    }
+    CHECK(cluster.run_until([&] { return cluster.given_up(); }, 30s));
+    CHECK(cluster.runs_of[crashing_task] <= max_starts);
+    CHECK(cluster.violations.empty());
+}
+
+TEST_CASE("Crashes under a task are counted across a loss of all power",
+          "[workload][crashes][known-red]") {
+    const auto starts = GENERATE(1U, 2U, 3U);
+    const auto delay = GENERATE(20ms, 1500ms, 3200ms);
+    INFO("all power is lost " << delay.count() << " ms after start " << starts);
+    crashing_cluster cluster(10ms);
+    REQUIRE(cluster.submit(long_job("crashing", 1, 1)));
+    if (cluster.run_until_starts(starts)) {
+        cluster.run_for(delay);
+        cluster.lose_all_power(2s);
+    }
+    CHECK(cluster.run_until([&] { return cluster.given_up(); }, 60s));
+    CHECK(cluster.runs_of[crashing_task] <= max_starts);
+    CHECK(cluster.violations.empty());
+}
+
+TEST_CASE("Crashes under a task are counted although answers of the store get lost",
+          "[workload][crashes][known-red]") {
+    const auto seed = GENERATE(range(1, 9));
+    INFO("seed " << seed);
+    crashing_cluster cluster(10ms, static_cast<std::uint64_t>(seed));
+    REQUIRE(cluster.submit(long_job("crashing", 1, 1)));
+    for (unsigned index = 0; index < 3; ++index) {
+        cluster.store_link(index).active_faults.lost_answers = 0.4;
+    }
+    CHECK(cluster.run_until([&] { return cluster.given_up(); }, 120s));
+    CHECK(cluster.runs_of[crashing_task] <= max_starts);
+    CHECK(cluster.violations.empty());
+}
+
+TEST_CASE("Sound jobs are not given up when workers crash by other causes", "[workload][crashes]") {
+    const auto seed = GENERATE(range(1, 21));
+    INFO("seed " << seed);
+    simulated_cluster cluster(static_cast<std::uint64_t>(seed), {.hosts = 6, .run_time = 4s});
+    cluster.run_for(2s);
+    std::vector<std::string> sound;
+    for (int number = 0; number < 6; ++number) {
+        sound.push_back("sound-" + std::to_string(number));
+        REQUIRE(cluster.submit(long_job(sound.back(), 1 + cluster.loop.random() % 4,
+                                        1 + cluster.loop.random() % 4,
+                                        cluster.loop.random() % 3 == 0)));
+    }
+    for (int crash = 0; crash < 12; ++crash) {
+        cluster.run_for(std::chrono::milliseconds{500 + cluster.loop.random() % 2500});
+        const auto host = static_cast<unsigned>(cluster.loop.random() % 6);
+        cluster.crash_worker(host, std::chrono::milliseconds{cluster.loop.random() % 4000});
+        if (crash % 3 == 0) {
+            cluster.crash_worker((host + 1) % 6, 1s);
+        }
+    }
+    const auto all_done = [&] {
+        return std::all_of(sound.begin(), sound.end(),
+                           [&](const std::string& id) { return cluster.completed(id); });
+    };
+    CHECK(cluster.run_until(all_done, 60s));
+    CHECK(cluster.violations.empty());
+}
+
+TEST_CASE("Sound jobs are not given up when all workers crash together again and again",
+          "[workload][crashes]") {
+    simulated_cluster cluster(1, {.hosts = 6, .run_time = 4s});
+    cluster.run_for(2s);
+    for (int number = 0; number < 6; ++number) {
+        REQUIRE(cluster.submit(long_job("sound-" + std::to_string(number), 3, 1)));
+    }
+    for (int round = 0; round < 6; ++round) {
+        cluster.run_for(2500ms);
+        for (unsigned host = 0; host < 6; ++host) {
+            cluster.crash_worker(host, 1s);
+        }
+    }
+    CHECK(cluster.run_until(
+        [&] {
+            return cluster.completed("sound-0") && cluster.completed("sound-3") &&
+                   cluster.completed("sound-5");
+        },
+        60s));
+    CHECK(cluster.violations.empty());
+}
+
+TEST_CASE("A lasting task survives crashes of its workers that are far apart",
+          "[workload][crashes]") {
+    simulated_cluster cluster(1, {.hosts = 3, .run_time = 10'000s});
+    cluster.run_for(2s);
+    auto job = long_job("lasting", 1, 8);
+    job.steps.front().long_running = true;
+    REQUIRE(cluster.submit(job));
+    REQUIRE(cluster.run_until([&] { return cluster.runs_started == 1; }, 5s));
+    for (std::uint64_t crash = 1; crash <= 8; ++crash) {
+        cluster.run_for(90s);
+        cluster.crash_worker(cluster.busy_host(), 3s);
+        CHECK(cluster.run_until([&] { return cluster.runs_started == crash + 1; }, 15s));
+    }
+    CHECK(cluster.phase("lasting") == workload::job_phase::active);
+}
--- a/tests/workload/simulated_cluster.cpp
+++ b/tests/workload/simulated_cluster.cpp
@@ -42,7 +42,11 @@
                          .memory = memory_mib{memory_per_host},
                          .accelerators = accelerator_count{opts.accelerators_per_host}},
             .rack = rack_id{"r" + std::to_string(index / opts.hosts_per_rack)},
-            .run_time = opts.run_time};
+            .run_time = opts.run_time,
+            .crash_delay = [this](const workload::task_name& task) {
+                const auto found = crashing_tasks.find(task);
+                return found == crashing_tasks.end() ? std::nullopt : std::optional{found->second};
+            }};
         hosts_[index].worker = std::make_unique<fakes::fake_guarded_worker>(worker, loop, *this);
         start_guard(index);
         announce(index);
@@ -108,8 +112,25 @@
     }
 }
 
-void simulated_cluster::crash_worker(unsigned index) {
-    hosts_[index].worker->crash();
+void simulated_cluster::crash_worker(unsigned index, duration restart_time) {
+    hosts_[index].worker->crash(restart_time);
+}
+
+void simulated_cluster::lose_all_power(duration down_time) {
+    for (unsigned index = 0; index < schedulers_.size(); ++index) {
+        kill_scheduler(index);
+    }
+    for (unsigned index = 0; index < hosts_.size(); ++index) {
+        kill_guard(index);
+        crash_worker(index, down_time);
+    }
+    run_for(down_time);
+    for (unsigned index = 0; index < schedulers_.size(); ++index) {
+        start_scheduler(index);
+    }
+    for (unsigned index = 0; index < hosts_.size(); ++index) {
+        start_guard(index);
+    }
 }
 
 void simulated_cluster::announce_previous_instance(unsigned index) {
@@ -124,7 +145,8 @@
 
 void simulated_cluster::announce(unsigned index) {
     auto& process = hosts_[index];
-    if (process.guard != nullptr && !process.worker->active_faults.silent) {
+    const bool silent = process.worker->active_faults.silent || process.worker->is_down();
+    if (process.guard != nullptr && !silent && !process.drops_announcements) {
         process.guard->announce({.facts = process.worker->facts(),
                                  .sequence = ++process.announcements,
                                  .clock = process.worker->clock()});
--- a/tests/workload/simulated_cluster.hpp
+++ b/tests/workload/simulated_cluster.hpp
@@ -65,7 +65,13 @@
     void start_scheduler(unsigned index);
     void kill_guard(unsigned index);
     void start_guard(unsigned index);
-    void crash_worker(unsigned index);
+    void crash_worker(unsigned index, duration restart_time = {});
+
+    /// Stops every scheduler and guard and crashes every worker, then starts them again.
+    void lose_all_power(duration down_time);
+
+    /// Loses the announcements of a worker until this is called with `false`.
+    void drop_announcements(unsigned index, bool drop) { hosts_[index].drops_announcements = drop; }
 
     /// Makes one scheduler the only seed of all guards.
     void set_guard_seeds(unsigned scheduler_index);
@@ -108,6 +114,9 @@
     /// Violated invariants, one line each.
     std::vector<std::string> violations;
 
+    /// How long after its start a run of each of these tasks crashes its worker.
+    std::map<workload::task_name, duration> crashing_tasks;
+
     std::uint64_t runs_started = 0;
     std::map<workload::task_name, unsigned> runs_of;
     std::map<workload::task_name, workload::host_id> last_host;
@@ -134,6 +143,7 @@
         std::unique_ptr<metrics_registry> metrics;
         std::unique_ptr<workload::worker_guard> guard;
         std::uint64_t announcements = 0;
+        bool drops_announcements = false;
     };
 
     void announce(unsigned index);
