Reproduce starts beyond a capacity that has shrunk

Seven smaller cases show single causes: an announcement that is seconds old, a start sent again, a worker that is over its capacity, assignments of two instances, growth and shrinking that are noticed late.

--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -608,3 +608,60 @@
     CHECK(events.front().detail.find("young.0.0.0 after 0 ms") != std::string::npos);
     CHECK(fixture.subject.counts().worker_crashes == 1);
 }
+
+// The capacity of a worker shrinks below what its runs use.
+TEST_CASE("Preemption on a worker that is over its capacity frees enough at once",
+          "[scheduler][capacity][known-red]") {
+    scheduler_fixture fixture;
+    fixture.add_worker("h1");
+    auto low = job_of("low", 8, 1);
+    low.steps.front().estimated = 20s;
+    fixture.submit(low);
+    fixture.run_pass();
+    REQUIRE(fixture.run_count("h1", "low") == 8);
+    fixture.reports["h1"].facts.capacity.accelerators = accelerator_count{4};
+    fixture.submit(urgent_job("high", 1, 2));
+    fixture.run_pass();
+    CHECK(fixture.run_count("h1", "low") == 2);
+    fixture.run_pass();
+    CHECK(fixture.run_count("h1", "high") == 1);
+}
+
+// A new leader reads assignments of two instances of one worker, and hears of the later one first.
+TEST_CASE("Resources of runs that an earlier leader assigned to a new instance are counted",
+          "[scheduler][capacity][known-red]") {
+    scheduler_fixture fixture;
+    fixture.add_worker("h1");
+    auto instance = fixture.reports["h1"].facts.instance;
+    for (const auto* id : {"a-old", "b-new"}) {
+        auto spec = job_of(id, 1, 4);
+        job_progress progress{.phase = job_phase::active, .occurrences = {}};
+        progress.occurrences.push_back(new_occurrence(spec, 0));
+        progress.occurrences[0].steps[0][0] = {
+            .phase = task_phase::assigned, .run = run_number{1}, .place = instance};
+        fixture.subject.add_job({.spec = spec, .progress = progress, .cancelled = false},
+                                fixture.now);
+        instance.version = incarnation{2};
+    }
+    auto& report = fixture.reports["h1"];
+    report.facts.instance = instance;
+    report.runs.push_back({.task = {.step = {.job = job_id{"b-new"}}}, .run = run_number{1}});
+    fixture.submit(urgent_job("whole", 1, 8));
+    fixture.subject.handle_report(report, fixture.now);
+    CHECK(fixture.subject.workers().find(host_id{"h1"})->used.accelerators.get() == 4);
+}
+
+TEST_CASE("Capacity that has grown is used in the next pass", "[scheduler][capacity][known-red]") {
+    scheduler_fixture fixture;
+    fixture.add_worker("h1");
+    fixture.reports["h1"].facts.capacity.accelerators = accelerator_count{2};
+    fixture.submit(job_of("j", 1, 8));
+    for (int pass = 0; pass < 4; ++pass) {
+        fixture.run_pass();
+    }
+    fixture.subject.drain_changed_hosts();
+    REQUIRE(fixture.run_count("h1") == 0);
+    fixture.reports["h1"].facts.capacity.accelerators = accelerator_count{8};
+    fixture.run_pass();
+    CHECK(fixture.run_count("h1") == 1);
+}
--- a/tests/workload/worker_guard.tests.cpp
+++ b/tests/workload/worker_guard.tests.cpp
@@ -74,13 +74,13 @@
 public:
     worker_guard guard;
 
-    void announce(std::uint64_t instance, std::int64_t clock) {
+    void announce(std::uint64_t instance, std::int64_t clock, std::uint32_t accelerators = 8) {
         worker_announcement announcement;
         announcement.facts.instance = {
             .host = host_id{"h"}, .worker = worker_id{"w"}, .version = incarnation{instance}};
         announcement.facts.capacity = {.cpu = cpu_millicores{8000},
                                        .memory = memory_mib{8000},
-                                       .accelerators = accelerator_count{8}};
+                                       .accelerators = accelerator_count{accelerators}};
         announcement.sequence = ++sequence_;
         announcement.clock = worker_time{clock};
         guard.announce(announcement);
@@ -324,3 +324,54 @@
     fixture.loop.run_for(600ms);
     CHECK(fixture.worker.renewals.back().call.worker.version == incarnation{6600});
 }
+
+TEST_CASE("A start is not sent again beyond a capacity that has shrunk meanwhile",
+          "[guard][capacity][known-red]") {
+    guard_fixture fixture;
+    fixture.announce(1, 1000);
+    fixture.order({}, 1);
+    fixture.answer_renewal({}, 1010);
+    fixture.order(start_of(wanted(4)), 1);
+    REQUIRE(fixture.worker.starts.size() == 1);
+    fixture.worker.starts[0].answer({.outcome = call_outcome::unanswered});
+    fixture.loop.run_for(5ms);
+    fixture.announce(1, 1050, 2);
+    fixture.answer_renewal({}, 1100);
+    CHECK(fixture.worker.starts.size() == 1);
+    CHECK(fixture.newest_report.refusals_size() == 1);
+}
+
+TEST_CASE("A guard starts nothing on a capacity that was announced too long ago",
+          "[guard][capacity][known-red]") {
+    guard_fixture fixture;
+    fixture.announce(1, 1000);
+    fixture.order({}, 1);
+    fixture.answer_renewal({}, 1010);
+    for (std::int64_t clock = 1500; clock <= 6000; clock += 500) {
+        fixture.loop.run_for(495ms);
+        fixture.answer_renewal({}, clock);
+    }
+    SECTION("the next announcement allows it") {
+        fixture.order(start_of(wanted()), 1);
+        CHECK(fixture.worker.starts.empty());
+        CHECK(fixture.newest_report.refusals().empty());
+        fixture.announce(1, 6030);
+        fixture.order(start_of(wanted()), 1);
+        CHECK(fixture.worker.starts.size() == 1);
+    }
+    // While the guard is paused, an announcement waits in the socket.
+    SECTION("an announcement that arrives late does not") {
+        fixture.announce(1, 2000);
+        fixture.order(start_of(wanted()), 1);
+        CHECK(fixture.worker.starts.empty());
+    }
+}
+
+TEST_CASE("A change of the worker's capacity is reported at once", "[guard][capacity][known-red]") {
+    guard_fixture fixture;
+    fixture.announce(1, 1000);
+    fixture.order({}, 1);
+    fixture.answer_renewal({}, 1010);
+    fixture.announce(1, 1100, 3);
+    CHECK(fixture.newest_report.worker().accelerators() == 3);
+}
