Count the excess of a worker whose capacity has shrunk in forecasts and preemption

Callers of an urgent job saw it wait while other work was stopped in several rounds on a worker that had shrunk. Free capacity was cut at zero, so what runs use beyond the capacity was forgotten: each end was taken as free capacity, and preemption stopped too few runs at once.

Candidates now carry the excess, and a run that ends reduces it before it frees anything, in the forecast as in the search for victims.

--- a/src/baobabrack/workload/capacity_forecast.cpp
+++ b/src/baobabrack/workload/capacity_forecast.cpp
@@ -41,11 +41,11 @@
     for (auto& host : hosts) {
         host.closed = false;
     }
-    for (const auto& release : releases_) {
-        if (release.time > time) {
+    for (const auto& expected : releases_) {
+        if (expected.time > time) {
             break;
         }
-        hosts[release.host_index].available.add(release.amount);
+        release(hosts[expected.host_index], expected.amount);
     }
     for (std::size_t index = 0; index < hosts.size(); ++index) {
         hosts[index].available =
--- a/src/baobabrack/workload/placement.cpp
+++ b/src/baobabrack/workload/placement.cpp
@@ -143,6 +143,19 @@
 
 }  // namespace
 
+candidate make_candidate(const worker_facts& facts, const resources& used) {
+    return {.facts = &facts,
+            .available = remaining_resources(facts.capacity, used),
+            .excess = remaining_resources(used, facts.capacity)};
+}
+
+void release(candidate& host, const resources& amount) {
+    const auto excess = remaining_resources(host.excess, amount);
+    const auto absorbed = remaining_resources(host.excess, excess);
+    host.available.add(remaining_resources(amount, absorbed));
+    host.excess = excess;
+}
+
 std::uint32_t task_capacity(const task_group& group, const candidate& host) {
     const auto& spec = *group.spec;
     const bool excluded = std::find(group.excluded_hosts.begin(), group.excluded_hosts.end(),
--- a/src/baobabrack/workload/placement.hpp
+++ b/src/baobabrack/workload/placement.hpp
@@ -17,12 +17,20 @@
     /// Owned by the worker table.
     const worker_facts* facts = nullptr;
     resources available;
+    /// Resources that the runs of the worker use beyond a capacity that has shrunk.
+    resources excess;
     /// Used only if the other candidates don't suffice.
     bool degraded = false;
     /// A run is on trial there, so no other run may start.
     bool closed = false;
 };
 
+/// @param used resources of all runs on the worker
+candidate make_candidate(const worker_facts& facts, const resources& used);
+
+/// Returns resources of a run that ends to its host: they reduce the excess first.
+void release(candidate& host, const resources& amount);
+
 /// Placed tasks refer to candidates by index, so the order must not change while they are in use.
 using candidates = std::vector<candidate>;
 
--- a/src/baobabrack/workload/preemption.cpp
+++ b/src/baobabrack/workload/preemption.cpp
@@ -63,11 +63,9 @@
     }
 
     // The number of tasks that fit on a host in addition to those that have a place there already.
-    std::uint32_t additional_tasks(std::size_t host, const resources& available) const {
-        auto amount = available;
+    std::uint32_t additional_tasks(std::size_t host, const candidate& freed) const {
         const auto placed = placed_on_host_[host];
-        const auto total = task_capacity(
-            group_, {.facts = free_[host].facts, .available = amount, .degraded = false});
+        const auto total = task_capacity(group_, freed);
         return total > placed ? total - placed : 0;
     }
 
@@ -97,9 +95,9 @@
     std::optional<host_option> option_for(std::size_t host) const {
         std::optional<host_option> best;
         host_option current{.host_index = host, .victims = {}, .tasks = 0, .lost_work = 0};
-        auto available = free_[host].available;
+        auto freed = free_[host];
         const auto update_best = [&] {
-            current.tasks = std::min(additional_tasks(host, available), unplaced_tasks());
+            current.tasks = std::min(additional_tasks(host, freed), unplaced_tasks());
             if (current.tasks > 0 &&
                 (!best || current.lost_work_per_task() < best->lost_work_per_task())) {
                 best = current;
@@ -117,7 +115,7 @@
             current.lost_work += victims_[index].lost_work;
             for (const auto& [victim_host, amount] : victims_[index].allocations) {
                 if (victim_host == host) {
-                    available.add(amount);
+                    release(freed, amount);
                 }
             }
             update_best();
@@ -132,18 +130,18 @@
     // lost work first.
     void drop_redundant(host_option& option) const {
         for (auto end = option.victims.size(); end > 0; --end) {
-            auto available = free_[option.host_index].available;
+            auto freed = free_[option.host_index];
             for (std::size_t other = 0; other < option.victims.size(); ++other) {
                 if (other == end - 1) {
                     continue;
                 }
                 for (const auto& [host, amount] : victims_[option.victims[other]].allocations) {
                     if (host == option.host_index) {
-                        available.add(amount);
+                        release(freed, amount);
                     }
                 }
             }
-            if (std::min(additional_tasks(option.host_index, available), unplaced_tasks()) >=
+            if (std::min(additional_tasks(option.host_index, freed), unplaced_tasks()) >=
                 option.tasks) {
                 option.lost_work -= victims_[option.victims[end - 1]].lost_work;
                 option.victims.erase(option.victims.begin() + static_cast<std::ptrdiff_t>(end) - 1);
@@ -156,7 +154,7 @@
             selected_[index] = true;
             lost_work_ += victims_[index].lost_work;
             for (const auto& [host, amount] : victims_[index].allocations) {
-                free_[host].available.add(amount);
+                release(free_[host], amount);
             }
         }
         for (std::uint32_t task = 0; task < option.tasks; ++task) {
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -253,10 +253,10 @@
         }
         const bool slow_worker = worker.speed.is_slow(now);
         auto& into = slow_worker && !worker.speed.from_gang() ? slow_candidates : usable_candidates;
-        into.push_back({.facts = &worker.facts,
-                        .available = remaining_resources(worker.facts.capacity, worker.used),
-                        .degraded = slow_worker || health != worker_health::healthy,
-                        .closed = closed_hosts.contains(host)});
+        auto host_candidate = make_candidate(worker.facts, worker.used);
+        host_candidate.degraded = slow_worker || health != worker_health::healthy;
+        host_candidate.closed = closed_hosts.contains(host);
+        into.push_back(host_candidate);
     }
     // If most workers appear slow, the estimates are wrong rather than the workers.
     if (slow_candidates.size() > usable_candidates.size()) {
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -611,7 +611,7 @@
 
 // The capacity of a worker shrinks below what its runs use.
 TEST_CASE("Preemption on a worker that is over its capacity frees enough at once",
-          "[scheduler][capacity][known-red]") {
+          "[scheduler][capacity]") {
     scheduler_fixture fixture;
     fixture.add_worker("h1");
     auto low = job_of("low", 8, 1);
@@ -627,6 +627,26 @@
     CHECK(fixture.run_count("h1", "high") == 1);
 }
 
+TEST_CASE("Capacity that ends of runs free is not promised while a worker is over its capacity",
+          "[capacity]") {
+    worker_facts facts;
+    facts.instance.host = host_id{"h"};
+    facts.capacity = {.cpu = cpu_millicores{8000},
+                      .memory = memory_mib{8000},
+                      .accelerators = accelerator_count{4}};
+    const resources used{.cpu = cpu_millicores{6000},
+                         .memory = memory_mib{6000},
+                         .accelerators = accelerator_count{7}};
+    const resources run{.accelerators = accelerator_count{2}};
+    const time_point now{100s};
+    const capacity_forecast forecast({make_candidate(facts, used)},
+                                     {{.time = now + 1s, .host_index = 0, .amount = run},
+                                      {.time = now + 2s, .host_index = 0, .amount = run}});
+    CHECK(forecast.available()[0].available.accelerators.get() == 0);
+    CHECK(forecast.unreserved_at(now + 1s)[0].available.accelerators.get() == 0);
+    CHECK(forecast.unreserved_at(now + 2s)[0].available.accelerators.get() == 1);
+}
+
 // A new leader reads assignments of two instances of one worker, and hears of the later one first.
 TEST_CASE("Resources of runs that an earlier leader assigned to a new instance are counted",
           "[scheduler][capacity][known-red]") {
