Acknowledge ends of runs only after their job's submission has been read

When the submission arrived the task was still assigned, and the next leader started it again. The class of fault: something is acknowledged although its effect was not stored.

A leader now knows which open jobs have progress but no submission. It applies and acknowledges no end from the first one of such a job on, lets their listed runs go on, and places nothing beside them. lead-taken says how many there are. The case 'The end of a run is not acknowledged before its job's submission has been read' fails on the parent (both ends acknowledged, the other run stopped).

--- a/src/baobabrack/workload/job_table.cpp
+++ b/src/baobabrack/workload/job_table.cpp
@@ -105,6 +105,17 @@
     return found;
 }
 
+std::vector<job_id> job_table::jobs_without_submission() const {
+    std::vector<job_id> found;
+    for (const auto& [id, value] : unmatched_progress_) {
+        wire::WorkloadProgress record;
+        if (parse(record, value) && record.ended_unix_ms() == 0) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
 void job_table::update_progress(stored_job& job, std::string_view value) {
     wire::WorkloadProgress record;
     if (value.empty()) {
--- a/src/baobabrack/workload/job_table.hpp
+++ b/src/baobabrack/workload/job_table.hpp
@@ -51,6 +51,9 @@
     ///         still stored
     std::vector<job_id> ended_before(wall_time time) const;
 
+    /// @return open jobs whose progress has been read but not their submission
+    std::vector<job_id> jobs_without_submission() const;
+
     const std::map<job_id, stored_job>& jobs() const { return jobs_; }
 
     /// @return the number of records that could not be parsed
--- a/src/baobabrack/workload/scheduler.cpp
+++ b/src/baobabrack/workload/scheduler.cpp
@@ -27,12 +27,15 @@
 
 void scheduler::load(const job_table& book, time_point now, time_point leases_expired_at) {
     inherited_lease_expiry_ = leases_expired_at;
+    const auto unread = book.jobs_without_submission();
+    unread_jobs_ = {unread.begin(), unread.end()};
     for (const auto& [id, job] : book.jobs()) {
         add_job(job, now);
     }
 }
 
 void scheduler::add_job(const stored_job& job, time_point now) {
+    unread_jobs_.erase(job.spec.id);
     if (jobs_.contains(job.spec.id) || has_ended(job.progress.phase)) {
         return;
     }
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -199,6 +199,7 @@
     const worker_table& workers() const { return workers_; }
     const scheduler_counts& counts() const { return counts_; }
     std::size_t open_jobs() const { return jobs_.size(); }
+    std::size_t unread_jobs() const { return unread_jobs_.size(); }
 
     /// A decision and its reason, for the log.
     struct decision_event {
@@ -357,6 +358,9 @@
     options options_;
     worker_table workers_;
     std::map<job_id, open_job> jobs_;
+    // Open jobs whose submission has not been read yet. Their runs go on, and ends are not
+    // acknowledged.
+    std::set<job_id> unread_jobs_;
     std::map<worker_instance, std::uint64_t> applied_ends_;
     std::map<worker_instance, std::uint64_t> stored_ends_;
     bool ends_dirty_ = false;
--- a/src/baobabrack/workload/scheduler_node.cpp
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -221,7 +221,8 @@
         now + max_confirmation_age + lease + lease / 25 + options_.scheduling.lease_slack);
     log_event(log_level::info, "lead-taken")
         .field("term", term_.get())
-        .field("open_jobs", static_cast<std::uint64_t>(scheduler_->open_jobs()));
+        .field("open_jobs", static_cast<std::uint64_t>(scheduler_->open_jobs()))
+        .field("unread_jobs", static_cast<std::uint64_t>(scheduler_->unread_jobs()));
     guards_.begin_term(now);
     for (const auto& [host, endpoint] : guards_.endpoints()) {
         deps_.network.connect(host, endpoint);
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -77,6 +77,9 @@
     worker.lists_at = now - report.lists_age;
     worker.expired = worker.expired && report.lease_suspended;
     for (const auto& end : report.ends) {
+        if (unread_jobs_.contains(end.task.step.job)) {
+            break;
+        }
         auto& last_applied = applied_ends_[instance];
         if (end.sequence > last_applied) {
             last_applied = end.sequence;
@@ -166,6 +169,7 @@
         const bool wanted = ref && ref->task->phase == task_phase::assigned &&
                             ref->task->run == run.run && ref->task->place == report.facts.instance;
         if (!wanted) {
+            // Also true for a run of an unread job: what it needs is unknown.
             worker.has_orphaned_runs = true;
             changed_hosts_.insert(report.facts.instance.host);
             continue;
@@ -453,7 +457,8 @@
         }
     }
     for (const auto& run : report.runs) {
-        if (!wanted.contains({run.task, run.run})) {
+        const bool unread = unread_jobs_.contains(run.task.step.job);
+        if (!unread && !wanted.contains({run.task, run.run})) {
             orders.stops.push_back({.task = run.task, .run = run.run});
         }
     }
--- a/tests/workload/job_table.tests.cpp
+++ b/tests/workload/job_table.tests.cpp
@@ -143,3 +143,15 @@
     REQUIRE_FALSE(result);
     CHECK_FALSE(result.error().remedy.empty());
 }
+
+TEST_CASE("Open progress without a submission is listed until the submission is read",
+          "[job_table]") {
+    job_table table;
+    job_progress active{.phase = job_phase::active, .occurrences = {}, .ended = {}};
+    job_progress ended{.phase = job_phase::completed, .occurrences = {}, .ended = wall_time{1s}};
+    table.apply_progress("progress/a", to_wire(active).SerializeAsString(), log_offset{1});
+    table.apply_progress("progress/b", to_wire(ended).SerializeAsString(), log_offset{2});
+    CHECK(table.jobs_without_submission() == std::vector<job_id>{job_id{"a"}});
+    table.apply_intake("job/a", record_of(job_of("a", 1, 1)), log_offset{1});
+    CHECK(table.jobs_without_submission().empty());
+}
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -685,3 +685,42 @@
     fixture.run_pass();
     CHECK(fixture.run_count("h1") == 1);
 }
+
+// A new leader has read the progress of a job, but reads the topic of submissions with a delay. The
+// end of the job's run was acknowledged and lost, and the task ran twice.
+TEST_CASE("The end of a run is not acknowledged before its job's submission has been read",
+          "[scheduler]") {
+    scheduler_fixture fixture;
+    fixture.add_worker("h1");
+    auto& report = fixture.reports["h1"];
+    const auto spec = job_of("j", 2, 1);
+    job_progress progress{.phase = job_phase::active, .occurrences = {}};
+    progress.occurrences.push_back(new_occurrence(spec, 0));
+    for (auto& assigned : progress.occurrences[0].steps[0]) {
+        assigned = {
+            .phase = task_phase::assigned, .run = run_number{1}, .place = report.facts.instance};
+    }
+    job_table book;
+    book.apply_progress("progress/j", to_wire(progress).SerializeAsString(), log_offset{1});
+    fixture.subject.load(book, fixture.now, fixture.now);
+    const task_name first{.step = {.job = job_id{"j"}}};
+    const task_name second{.step = {.job = job_id{"j"}}, .index = 1};
+    report.runs.push_back({.task = second, .run = run_number{1}});
+    report.ends.push_back(
+        {.sequence = 1, .task = first, .run = run_number{1}, .outcome = run_outcome::done});
+    fixture.submit(job_of("other", 1, 8));
+    fixture.run_pass();
+    fixture.run_pass();
+    CHECK(fixture.subject.orders_for(report).ends_stored == 0);
+    REQUIRE(fixture.run_count("h1") == 1);
+    fixture.subject.add_job({.spec = spec, .progress = progress, .cancelled = false}, fixture.now);
+    fixture.run_pass();
+    fixture.run_pass();
+    CHECK(fixture.subject.orders_for(report).ends_stored == 1);
+    CHECK(fixture.run_count("h1", "j") == 1);
+    fixture.end_all("h1", run_outcome::done);
+    fixture.run_pass();
+    fixture.run_pass();
+    CHECK(fixture.run_count("h1", "other") == 1);
+    CHECK(fixture.subject.open_jobs() == 1);
+}
