--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -671,7 +671,7 @@
     CHECK(fixture.subject.workers().find(host_id{"h1"})->used.accelerators.get() == 4);
 }
 
-TEST_CASE("Capacity that has grown is used in the next pass", "[scheduler][capacity][known-red]") {
+TEST_CASE("Capacity that has grown is used in the next pass", "[scheduler][capacity]") {
     scheduler_fixture fixture;
     fixture.add_worker("h1");
     fixture.reports["h1"].facts.capacity.accelerators = accelerator_count{2};
