Count the runs of an earlier guard against the worker's capacity

What callers could see: after the restart of a guard, an order that was under way while the worker shrank filled it beyond its capacity.

Cause: a guard knew what its own starts need, and left the runs of an earlier guard to the leader, whose knowledge of the capacity is as old as the report that it answers.

Reports now mark listed runs whose needs the guard does not know, and the orders that answer give them, so that the guard compares everything that runs with the capacity that it has heard last.

'A guard counts the runs that an earlier guard has started' fails without the counting (the start is sent, no refusal); a case each for the leader's answer, for a start that fits and for a run that has ended.

--- a/src/baobabrack/workload/guarded_runs.cpp
+++ b/src/baobabrack/workload/guarded_runs.cpp
@@ -35,9 +35,19 @@
             used.add(start.run.needs);
         }
     }
+    for (const auto& [key, inherited_needs] : inherited_) {
+        used.add(inherited_needs);
+    }
     return capacity.can_fit(used);
 }
 
+void guarded_runs::record_needs(const run_needs& known) {
+    const run_key key{known.task, known.run};
+    if (is_listed(key) && !starts_.contains(key)) {
+        inherited_[key] = known.needs;
+    }
+}
+
 void guarded_runs::record_start(const start_order& run, unsigned attempts) {
     starts_[{run.task, run.run}] = {.run = run, .attempts = attempts, .deciding_renewal = 0};
 }
@@ -73,6 +83,7 @@
     runs_ = lists.runs;
     ends_ = lists.ends;
     std::erase_if(ends_, [&](const ended_run& end) { return end.sequence <= ends_stored; });
+    std::erase_if(inherited_, [&](const auto& entry) { return !is_listed(entry.first); });
     lists_known_ = true;
     lists_seen_ = true;
     std::erase_if(starts_, [&](const auto& entry) {
@@ -97,6 +108,10 @@
 void guarded_runs::add_to(worker_report& report, std::uint64_t report_number) {
     report.lists_known = lists_known_;
     report.runs = runs_;
+    for (auto& run : report.runs) {
+        const run_key key{run.task, run.run};
+        run.needs_unknown = !starts_.contains(key) && !inherited_.contains(key);
+    }
     for (const auto& [key, start] : starts_) {
         if (!is_listed(key) && !has_ended(key)) {
             report.runs.push_back(
--- a/src/baobabrack/workload/guarded_runs.hpp
+++ b/src/baobabrack/workload/guarded_runs.hpp
@@ -56,8 +56,11 @@
     /// @return whether the worker lists the end of the run
     bool has_ended(const run_key& key) const;
 
-    /// @return whether the capacity suffices for a run in addition to the runs that this guard has
-    ///         started; runs started by an earlier guard are accounted for by the leader
+    /// Records what a listed run needs that an earlier guard has started.
+    void record_needs(const run_needs& known);
+
+    /// @return whether the capacity suffices for a run in addition to the runs on the worker; a run
+    ///         for which the leader has not told what it needs counts as none
     bool fits(const resources& needs, const resources& capacity) const;
 
     /// Records that a start call is sent.
@@ -117,6 +120,8 @@
     std::vector<reported_run> runs_;
     std::vector<ended_run> ends_;
     std::map<run_key, started_run> starts_;
+    // Listed runs that an earlier guard has started.
+    std::map<run_key, resources> inherited_;
     std::map<run_key, refusal> refusals_;
     std::uint64_t newest_end_ = 0;
 };
--- a/src/baobabrack/workload/report_codec.cpp
+++ b/src/baobabrack/workload/report_codec.cpp
@@ -8,6 +8,21 @@
 
 namespace {
 
+// Both messages have the same three fields.
+template <typename Message>
+resources needs_from_wire(const Message& message) {
+    return {.cpu = cpu_millicores{message.cpu_millicores()},
+            .memory = memory_mib{message.memory_mib()},
+            .accelerators = accelerator_count{message.accelerators()}};
+}
+
+template <typename Message>
+void needs_to_wire(const resources& needs, Message& message) {
+    message.set_cpu_millicores(needs.cpu.get());
+    message.set_memory_mib(needs.memory.get());
+    message.set_accelerators(needs.accelerators.get());
+}
+
 std::uint64_t to_ms(duration span) {
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
     return static_cast<std::uint64_t>(std::max<std::int64_t>(ms, 0));
@@ -77,7 +92,8 @@
                                .checkpoint = run.checkpoint(),
                                .percent = run.percent(),
                                .listed = run.listed(),
-                               .begun = run.begun()});
+                               .begun = run.begun(),
+                               .needs_unknown = run.needs_unknown()});
     }
     for (const auto& end : message.ends()) {
         report.ends.push_back({.sequence = end.number(),
@@ -115,6 +131,7 @@
         encoded.set_percent(run.percent);
         encoded.set_listed(run.listed);
         encoded.set_begun(run.begun);
+        encoded.set_needs_unknown(run.needs_unknown);
     }
     for (const auto& end : report.ends) {
         auto& encoded = *message.add_ends();
@@ -142,9 +159,13 @@
         encoded.set_run(start.run.get());
         encoded.set_payload(start.payload);
         encoded.set_checkpoint(start.checkpoint);
-        encoded.set_cpu_millicores(start.needs.cpu.get());
-        encoded.set_memory_mib(start.needs.memory.get());
-        encoded.set_accelerators(start.needs.accelerators.get());
+        needs_to_wire(start.needs, encoded);
+    }
+    for (const auto& known : orders.needs) {
+        auto& encoded = *message.add_needs();
+        *encoded.mutable_task() = to_wire(known.task);
+        encoded.set_run(known.run.get());
+        needs_to_wire(known.needs, encoded);
     }
     for (const auto& stop : orders.stops) {
         auto& encoded = *message.add_stops();
@@ -159,16 +180,19 @@
                                     .version = incarnation{message.worker_incarnation()}},
                          .ends_stored = message.ends_stored(),
                          .starts = {},
-                         .stops = {}};
+                         .stops = {},
+                         .needs = {}};
     for (const auto& start : message.starts()) {
-        orders.starts.push_back(
-            {.task = from_wire(start.task()),
-             .run = run_number{start.run()},
-             .payload = start.payload(),
-             .checkpoint = start.checkpoint(),
-             .needs = {.cpu = cpu_millicores{start.cpu_millicores()},
-                       .memory = memory_mib{start.memory_mib()},
-                       .accelerators = accelerator_count{start.accelerators()}}});
+        orders.starts.push_back({.task = from_wire(start.task()),
+                                 .run = run_number{start.run()},
+                                 .payload = start.payload(),
+                                 .checkpoint = start.checkpoint(),
+                                 .needs = needs_from_wire(start)});
+    }
+    for (const auto& known : message.needs()) {
+        orders.needs.push_back({.task = from_wire(known.task()),
+                                .run = run_number{known.run()},
+                                .needs = needs_from_wire(known)});
     }
     for (const auto& stop : message.stops()) {
         orders.stops.push_back({.task = from_wire(stop.task()), .run = run_number{stop.run()}});
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -50,6 +50,8 @@
     bool listed = true;
     /// The worker has listed the run or accepted its start.
     bool begun = true;
+    /// The guard has not started the run and does not know what it needs.
+    bool needs_unknown = false;
 };
 
 /// The runs that a worker lists when its lease is renewed.
@@ -105,6 +107,13 @@
     run_number run;
 };
 
+/// The resources of a run that an earlier guard has started.
+struct run_needs {
+    task_name task;
+    run_number run;
+    resources needs;
+};
+
 /// The runs that a guard should start and stop on its worker.
 struct worker_orders {
     worker_instance worker;
@@ -112,6 +121,8 @@
     std::uint64_t ends_stored = 0;
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
+    /// Of the listed runs for which the guard does not know them.
+    std::vector<run_needs> needs;
 };
 
 /// Job progress that must be stored before any order that depends on it is sent.
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -416,7 +416,8 @@
 
 worker_orders scheduler::orders_for(const worker_report& report) {
     const auto& instance = report.facts.instance;
-    worker_orders orders{.worker = instance, .ends_stored = 0, .starts = {}, .stops = {}};
+    worker_orders orders{
+        .worker = instance, .ends_stored = 0, .starts = {}, .stops = {}, .needs = {}};
     if (const auto stored = stored_ends_.find(instance); stored != stored_ends_.end()) {
         orders.ends_stored = stored->second;
     }
@@ -426,6 +427,11 @@
     std::set<std::pair<task_name, run_number>> listed;
     for (const auto& run : report.runs) {
         listed.emplace(run.task, run.run);
+        const auto ref = run.needs_unknown ? find(run.task) : std::nullopt;
+        if (ref) {
+            orders.needs.push_back(
+                {.task = run.task, .run = run.run, .needs = ref->step->per_task});
+        }
     }
     std::set<std::pair<task_name, run_number>> finished;
     for (const auto& end : report.ends) {
--- a/src/baobabrack/workload/worker_guard.cpp
+++ b/src/baobabrack/workload/worker_guard.cpp
@@ -258,6 +258,9 @@
         return;
     }
     ends_stored_ = std::max(ends_stored_, orders.ends_stored);
+    for (const auto& known : orders.needs) {
+        runs_.record_needs(known);
+    }
     for (const auto& run : orders.stops) {
         handle_stop_order(run);
     }
@@ -300,7 +303,7 @@
         return;
     }
     if (!runs_.fits(run.needs, facts_->capacity)) {
-        refuse_start(key, "no room beside the runs that this guard has started");
+        refuse_start(key, "no room beside the runs on the worker");
         return;
     }
     send_start(run, 1);
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -671,6 +671,23 @@
     CHECK(fixture.subject.workers().find(host_id{"h1"})->used.accelerators.get() == 4);
 }
 
+TEST_CASE("Orders say what a run needs if its guard does not know", "[scheduler][capacity]") {
+    scheduler_fixture fixture;
+    fixture.add_worker("h1");
+    fixture.submit(job_of("j", 1, 3));
+    fixture.run_pass();
+    REQUIRE(fixture.run_count("h1") == 1);
+    auto& report = fixture.reports["h1"];
+    CHECK(fixture.subject.orders_for(report).needs.empty());
+    report.runs[0].needs_unknown = true;
+    report.runs.push_back(
+        {.task = {.step = {.job = job_id{"ended"}}}, .run = run_number{1}, .needs_unknown = true});
+    const auto needs = fixture.subject.orders_for(report).needs;
+    REQUIRE(needs.size() == 1);
+    CHECK(needs[0].task.step.job == job_id{"j"});
+    CHECK(needs[0].needs.accelerators == accelerator_count{3});
+}
+
 TEST_CASE("Capacity that has grown is used in the next pass", "[scheduler][capacity]") {
     scheduler_fixture fixture;
     fixture.add_worker("h1");
--- a/tests/workload/worker_guard.tests.cpp
+++ b/tests/workload/worker_guard.tests.cpp
@@ -367,6 +367,40 @@
     }
 }
 
+// The order is as old as the leader's knowledge of the capacity.
+TEST_CASE("A guard counts the runs that an earlier guard has started", "[guard][capacity]") {
+    guard_fixture fixture;
+    fixture.announce(1, 1000);
+    fixture.order({}, 1);
+    const task_name other{.step = {.job = job_id{"other"}}};
+    fixture.answer_renewal({.runs = {{.task = other, .run = run_number{1}}}, .ends = {}}, 1010);
+    REQUIRE(fixture.newest_report.runs_size() == 1);
+    CHECK(fixture.newest_report.runs(0).needs_unknown());
+    auto orders = start_of(wanted(3));
+    orders.needs = {
+        {.task = other, .run = run_number{1}, .needs = {.accelerators = accelerator_count{4}}}};
+    SECTION("a start beyond the capacity is refused") {
+        fixture.announce(1, 1050, 6);
+        fixture.order(orders, 1);
+        CHECK(fixture.worker.starts.empty());
+        CHECK(fixture.newest_report.refusals_size() == 1);
+    }
+    SECTION("a start within the capacity is sent") {
+        fixture.order(orders, 1);
+        CHECK(fixture.worker.starts.size() == 1);
+        fixture.loop.run_for(600ms);
+        CHECK_FALSE(fixture.newest_report.runs(0).needs_unknown());
+    }
+    SECTION("a run that has ended does not count") {
+        fixture.order(
+            {.worker = {}, .ends_stored = 0, .starts = {}, .stops = {}, .needs = orders.needs}, 1);
+        fixture.announce(1, 1050, 6);
+        fixture.answer_renewal({}, 1100);
+        fixture.order(start_of(wanted(3)), 1);
+        CHECK(fixture.worker.starts.size() == 1);
+    }
+}
+
 TEST_CASE("A change of the worker's capacity is reported at once", "[guard][capacity]") {
     guard_fixture fixture;
     fixture.announce(1, 1000);
