Limit the crashes under a task that coincide with others

The class of fault: a bound that only counts what it can attribute.

Crashes before the run has settled now count whatever else crashes: the second orders a trial, and after the fifth the job is given up. Exempt are a crash of nearly all workers and the time in which a new leader may have missed one, where power was lost and no task is the cause. Nothing is attributed that was not before, so proof needs what it needed.

--- a/src/baobabrack/workload/crash_record.cpp
+++ b/src/baobabrack/workload/crash_record.cpp
@@ -12,7 +12,8 @@
 // at fault.
 constexpr std::uint32_t max_repeated_crashes = 2;
 constexpr std::uint32_t max_repeated_crashes_in_doubt = 3;
-// A task is not started again after this many crashes if several of them were in trials.
+// A task is not started again after this many crashes if all of them were early or several of them
+// were in trials.
 constexpr std::uint32_t max_crashes = 5;
 constexpr std::uint32_t min_trial_crashes = 3;
 // Accuracy of the run time at a crash: the time between two lists, and some delay.
@@ -42,7 +43,7 @@
 
 std::vector<std::size_t> find_suspects(const std::vector<crashed_run>& runs,
                                        const crash_circumstances& crash) {
-    if (crash.scope == crash_scope::several) {
+    if (crash.scope == crash_scope::several || crash.scope == crash_scope::nearly_all) {
         return {};
     }
     auto suspects = select(runs, [](const crashed_run& run) { return run.on_trial; });
@@ -59,6 +60,18 @@
     return suspects;
 }
 
+void record_early_crash(crash_record& record, const crashed_run& run, crash_scope scope) {
+    const bool explained =
+        scope == crash_scope::nearly_all || (scope == crash_scope::unknown && !run.on_trial);
+    if (explained || is_settled(run.run_time)) {
+        return;
+    }
+    ++record.early_crashes;
+    if (record.early_crashes >= crashes_until_trial) {
+        record.trial = std::max(record.trial, settle_time);
+    }
+}
+
 void record_crash(crash_record& record, const crashed_run& run, bool suspect,
                   const crash_circumstances& crash) {
     const auto difference = std::chrono::abs(run.run_time - record.last_run_time);
@@ -83,7 +96,7 @@
 bool crashes_workers(const crash_record& record) {
     const bool proved = record.on_several_hosts && !record.other_causes;
     const auto limit = proved ? max_repeated_crashes : max_repeated_crashes_in_doubt;
-    return record.repeated_crashes >= limit ||
+    return record.repeated_crashes >= limit || record.early_crashes >= max_crashes ||
            (record.crashes >= max_crashes && record.trial_crashes >= min_trial_crashes);
 }
 
--- a/src/baobabrack/workload/crash_record.hpp
+++ b/src/baobabrack/workload/crash_record.hpp
@@ -18,6 +18,8 @@
 struct crash_record {
     /// Crashes of workers that had a run of the task.
     std::uint32_t crashes = 0;
+    /// Those that came before the run had settled, whatever else crashed at that time.
+    std::uint32_t early_crashes = 0;
     /// Crashes during trials.
     std::uint32_t trial_crashes = 0;
     /// Crashes during trials that came as long after the start as the crash before.
@@ -56,6 +58,8 @@
     unknown,
     /// Another worker did that had no run that may have caused it.
     several,
+    /// Nearly all workers did, as when power is lost.
+    nearly_all,
 };
 
 /// What else is known of a crash.
@@ -72,12 +76,18 @@
 
 /// Selects the runs that may have caused the crash of their worker: the runs on trial; if there are
 /// none, those that started shortly before; if there are none, all of them. There are no suspects
-/// if several workers crashed, and only runs on trial if all power may have been lost.
+/// if several workers crashed or nearly all of them, and only runs on trial if all power may have
+/// been lost.
 ///
 /// @return indices into `runs`
 std::vector<std::size_t> find_suspects(const std::vector<crashed_run>& runs,
                                        const crash_circumstances& crash);
 
+/// Counts a crash that came before the run had settled. It may be the task's even if another worker
+/// crashed at that time, so the number of such crashes is limited, and the second one orders a
+/// trial.
+void record_early_crash(crash_record& record, const crashed_run& run, crash_scope scope);
+
 /// Adds a crash to the record of a task that ran on the worker. Orders a trial for a suspect whose
 /// run was young, and for every task to which this has happened before.
 void record_crash(crash_record& record, const crashed_run& run, bool suspect,
--- a/src/baobabrack/workload/scheduler_crashes.cpp
+++ b/src/baobabrack/workload/scheduler_crashes.cpp
@@ -19,6 +19,9 @@
 // For this long after an unexplained crash, further ones are expected.
 constexpr duration other_causes_window = std::chrono::seconds{60};
 
+// A loss of power may spare one worker of this many.
+constexpr std::size_t spared_worker_divisor = 8;
+
 std::string_view to_string(crash_scope scope) {
     switch (scope) {
         case crash_scope::single:
@@ -27,6 +30,8 @@
             return "all power may have been lost";
         case crash_scope::several:
             return "other workers crashed as well";
+        case crash_scope::nearly_all:
+            return "nearly all workers crashed";
     }
     return "unknown";
 }
@@ -82,6 +87,8 @@
                worker.lists_at < lists_at + simultaneous_crash_window;
     };
     bool others_run = false;
+    bool unexplained = false;
+    std::size_t others_near = 0;
     for (const auto& [host, other] : workers_.all()) {
         if (&other == &worker) {
             continue;
@@ -90,14 +97,22 @@
         const bool crashed = other.crash_noticed_at != time_point{};
         if (observed) {
             const bool silent = now > other.lists_at + max_list_interval;
-            if ((crashed && !other.crash_had_suspects && is_near(other.crashed_lists_at)) ||
-                (silent && is_near(other.lists_at) && !has_suspicious_runs(host))) {
-                return crash_scope::several;
-            }
+            const bool crashed_near = crashed && is_near(other.crashed_lists_at);
+            const bool silent_near = silent && is_near(other.lists_at);
+            others_near += crashed_near || silent_near ? 1U : 0U;
+            unexplained = unexplained || (crashed_near && !other.crash_had_suspects) ||
+                          (silent_near && !has_suspicious_runs(host));
         } else if (crashed && now < other.crash_noticed_at + power_loss_window) {
             return crash_scope::unknown;
         }
     }
+    const auto others = workers_.all().size() - 1;
+    if (others > 0 && others_near >= others - others / spared_worker_divisor) {
+        return crash_scope::nearly_all;
+    }
+    if (unexplained) {
+        return crash_scope::several;
+    }
     return observed || others_run ? crash_scope::single : crash_scope::unknown;
 }
 
@@ -136,7 +151,9 @@
     crash_circumstances crash{.host = current.host, .scope = scope_of_crash(worker, now)};
     worker.crashed_lists_at = worker.lists_at;
     worker.crash_noticed_at = now;
-    if (!worker.crash_had_suspects || crash.scope == crash_scope::several) {
+    const bool common_cause =
+        crash.scope == crash_scope::several || crash.scope == crash_scope::nearly_all;
+    if (!worker.crash_had_suspects || common_cause) {
         last_unexplained_crash_ = now;
     }
     crash.other_causes = last_unexplained_crash_ != time_point{} &&
@@ -148,7 +165,8 @@
     add_decision_event("worker-crashed", {}, {}, current.host,
                        sign + "; worker " + worker.facts.instance.worker.get() + ", " +
                            std::string{to_string(crash.scope)} + ", runs: " + text);
-    if (crash.scope == crash_scope::several) {
+    record_early_crashes(lost, runs, crash.scope);
+    if (common_cause) {
         return;
     }
     const auto suspects = find_suspects(runs, crash);
@@ -160,6 +178,18 @@
     }
 }
 
+// Runs whose start has not been stored cannot have been started.
+void scheduler::record_early_crashes(const std::vector<task_ref>& lost,
+                                     const std::vector<crashed_run>& runs, crash_scope scope) {
+    for (std::size_t index = 0; index < runs.size(); ++index) {
+        const auto& ref = lost[index];
+        if (ref.state->stored_run == ref.task->run) {
+            record_early_crash(ref.task->crashes, runs[index], scope);
+            ref.job->dirty = true;
+        }
+    }
+}
+
 void scheduler::record_run_crash(const task_ref& ref, const crashed_run& run, bool suspect,
                                  const crash_circumstances& crash, time_point now) {
     auto& record = ref.task->crashes;
@@ -170,7 +200,8 @@
     }
     ref.job->quick_failures[crash.host] = now;
     add_decision_event("task-suspected", name_of(ref), ref.task->run, crash.host,
-                       "crashes " + std::to_string(record.crashes) + ", in trials " +
+                       "crashes " + std::to_string(record.crashes) + ", early " +
+                           std::to_string(record.early_crashes) + ", in trials " +
                            std::to_string(record.trial_crashes) + ", repeated " +
                            std::to_string(record.repeated_crashes) + ", next trial " +
                            to_ms_text(record.trial));
--- a/tests/workload/crash_record.tests.cpp
+++ b/tests/workload/crash_record.tests.cpp
@@ -99,6 +99,27 @@
     CHECK(record.repeated_crashes == 0);
 }
 
+TEST_CASE("The fifth early crash is the last, and the second orders a trial", "[crash_record]") {
+    crash_record record;
+    for (int crash = 1; crash <= 5; ++crash) {
+        CHECK_FALSE(crashes_workers(record));
+        record_early_crash(record, {.run_time = 100ms}, crash_scope::several);
+        CHECK((record.trial > duration::zero()) == (crash >= 2));
+    }
+    CHECK(crashes_workers(record));
+}
+
+TEST_CASE("Settled runs and crashes of nearly all workers do not count as early",
+          "[crash_record]") {
+    crash_record record;
+    record_early_crash(record, {.run_time = 5s}, crash_scope::single);
+    record_early_crash(record, {.run_time = 0ms}, crash_scope::nearly_all);
+    record_early_crash(record, {.run_time = 0ms}, crash_scope::unknown);
+    CHECK(record == crash_record{});
+    record_early_crash(record, trial_run(0ms), crash_scope::unknown);
+    CHECK(record.early_crashes == 1);
+}
+
 TEST_CASE("A run that lasts long enough outlives the record", "[crash_record]") {
     crash_record record;
     record_crash(record, {.run_time = 0ms}, true, on("h1"));
@@ -113,6 +134,7 @@
     progress.occurrences.push_back(new_occurrence(spec, 0));
     auto& record = progress.occurrences.front().steps.front()[1].crashes;
     record = {.crashes = 4,
+              .early_crashes = 2,
               .trial_crashes = 3,
               .repeated_crashes = 2,
               .on_several_hosts = true,
--- a/tests/workload/crashing_tasks.tests.cpp
+++ b/tests/workload/crashing_tasks.tests.cpp
@@ -179,6 +179,57 @@
     CHECK(cluster.violations.empty());
 }
 
+// Another worker with a run that has lasted for long crashes each time as well, so that a cause
+// outside of the task is likely.
+TEST_CASE("Crashes under a task are counted although other workers crash at the same moment",
+          "[workload][crashes]") {
+    const auto delay = GENERATE(0ms, 300ms);
+    INFO("the other worker crashes " << delay.count() << " ms after the start");
+    crashing_cluster cluster(10ms, 1, 1000s);
+    for (int number = 0; number < 6; ++number) {
+        REQUIRE(cluster.submit(long_job("sound-" + std::to_string(number), 1, 5)));
+    }
+    cluster.run_for(5s);
+    REQUIRE(cluster.submit(long_job("crashing", 1, 1)));
+    for (unsigned starts = 1; starts <= max_starts + 1 && cluster.run_until_starts(starts);
+         ++starts) {
+        cluster.run_for(delay);
+        const auto last = cluster.last_host[crashing_task].get();
+        unsigned other = 0;
+        while (other < 6 && (cluster.worker(other).facts().instance.host.get() == last ||
+                             cluster.worker(other).running() == 0)) {
+            ++other;
+        }
+        REQUIRE(other < 6);
+        cluster.crash_worker(other, 1s);
+    }
+    CHECK(cluster.run_until([&] { return cluster.given_up(); }, 60s));
+    CHECK(cluster.runs_of[crashing_task] <= max_starts);
+    CHECK(cluster.violations.empty());
+}
+
+TEST_CASE("Crashes under a task are counted while workers and leaders crash at random",
+          "[workload][crashes]") {
+    const auto seed = GENERATE(range(1, 41));
+    INFO("seed " << seed);
+    crashing_cluster cluster(10ms, static_cast<std::uint64_t>(seed));
+    const auto sound = submit_sound_jobs(cluster);
+    REQUIRE(cluster.submit(long_job("crashing", 2, 1)));
+    for (int round = 0; round < 16 && !cluster.given_up(); ++round) {
+        cluster.run_for(std::chrono::milliseconds{cluster.loop.random() % 2500});
+        if (cluster.loop.random() % 4 == 0 && cluster.leader() != nullptr) {
+            const auto leader = cluster.leader_index();
+            cluster.kill_scheduler(leader);
+            cluster.start_scheduler(leader);
+        } else {
+            crash_one_or_two(cluster, round % 3 == 0);
+        }
+    }
+    CHECK(cluster.run_until([&] { return cluster.given_up(); }, 60s));
+    CHECK(cluster.runs_of[crashing_task] <= max_starts);
+    CHECK(cluster.violations.empty());
+}
+
 TEST_CASE("Sound jobs are not given up when workers crash by other causes", "[workload][crashes]") {
     const auto seed = GENERATE(range(1, 41));
     INFO("seed " << seed);
