Tell a silent worker by its last report, and a loss of all power by survivors

What callers saw: crashes of a crashing task were explained by other workers that were well, so that its trials proved nothing and it started once more.

Cause: a worker counted as silent when the leader's copy of its lists was older than 0.8 s. An idle worker returns lists every 0.5 s and its guard reports every 0.5 s, so 1 s is usual. And a new leader that noticed a second crash within 5 s assumed a loss of all power although other workers still had the runs of before.

A worker is silent if its lists were old when its guard reported, or the guard is silent. Without earlier lists, a loss of power is assumed only if hardly any worker still has runs that an earlier leader assigned.

'A crash is not explained by workers whose lists are merely as old as they may be' fails with the former condition ('other workers crashed as well').

--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -314,6 +314,8 @@
                              const std::string& sign, time_point now);
     crash_scope scope_of_crash(const worker_state& worker, time_point now);
     bool has_suspicious_runs(const host_id& host);
+    bool is_silent(const worker_state& worker, time_point now) const;
+    bool has_surviving_runs(const worker_state& worker);
     static void record_early_crashes(const std::vector<task_ref>& lost,
                                      const std::vector<crashed_run>& runs, crash_scope scope);
     void record_run_crash(const task_ref& ref, const crashed_run& run, bool suspect,
--- a/src/baobabrack/workload/scheduler_crashes.cpp
+++ b/src/baobabrack/workload/scheduler_crashes.cpp
@@ -78,6 +78,23 @@
            });
 }
 
+// Returns whether the worker did not return lists when its guard last reported, or its guard is
+// silent as well.
+bool scheduler::is_silent(const worker_state& worker, time_point now) const {
+    return worker.last_heard - worker.lists_at > max_list_interval ||
+           now > worker.last_heard + options_.silence_limit;
+}
+
+// Returns whether the worker still has runs that an earlier leader assigned, so that it has not
+// lost its power since.
+bool scheduler::has_surviving_runs(const worker_state& worker) {
+    const auto& runs = runs_by_host_[worker.facts.instance.host];
+    return worker.responding && std::any_of(runs.begin(), runs.end(), [&](const task_name& name) {
+               const auto ref = find(name);
+               return ref && ref->state->restored && ref->task->place == worker.facts.instance;
+           });
+}
+
 // Compares the crash with what is known of the other workers at that time. Task by task, two tasks
 // may crash their workers at once; a worker without such a task has another cause.
 crash_scope scheduler::scope_of_crash(const worker_state& worker, time_point now) {
@@ -88,32 +105,35 @@
     };
     bool others_run = false;
     bool unexplained = false;
+    bool crashed_recently = false;
     std::size_t others_near = 0;
+    std::size_t survivors = 0;
     for (const auto& [host, other] : workers_.all()) {
         if (&other == &worker) {
             continue;
         }
-        others_run = others_run || other.responding;
         const bool crashed = other.crash_noticed_at != time_point{};
-        if (observed) {
-            const bool silent = now > other.lists_at + max_list_interval;
-            const bool crashed_near = crashed && is_near(other.crashed_lists_at);
-            const bool silent_near = silent && is_near(other.lists_at);
-            others_near += crashed_near || silent_near ? 1U : 0U;
-            unexplained = unexplained || (crashed_near && !other.crash_had_suspects) ||
-                          (silent_near && !has_suspicious_runs(host));
-        } else if (crashed && now < other.crash_noticed_at + power_loss_window) {
-            return crash_scope::unknown;
-        }
+        const bool crashed_near = crashed && is_near(other.crashed_lists_at);
+        const bool silent_near = is_near(other.lists_at) && is_silent(other, now);
+        others_run = others_run || other.responding;
+        others_near += crashed_near || silent_near ? 1U : 0U;
+        unexplained = unexplained || (crashed_near && !other.crash_had_suspects) ||
+                      (silent_near && !has_suspicious_runs(host));
+        crashed_recently =
+            crashed_recently || (crashed && now < other.crash_noticed_at + power_loss_window);
+        survivors += has_surviving_runs(other) ? 1U : 0U;
     }
     const auto others = workers_.all().size() - 1;
-    if (others > 0 && others_near >= others - others / spared_worker_divisor) {
-        return crash_scope::nearly_all;
+    const auto spared = others / spared_worker_divisor;
+    if (!observed) {
+        const bool power_lost = survivors <= spared && (crashed_recently || !others_run);
+        const auto doubt = crashed_recently ? crash_scope::several : crash_scope::single;
+        return power_lost ? crash_scope::unknown : doubt;
     }
-    if (unexplained) {
-        return crash_scope::several;
+    if (others > 0 && others_near >= others - spared) {
+        return crash_scope::nearly_all;
     }
-    return observed || others_run ? crash_scope::single : crash_scope::unknown;
+    return unexplained ? crash_scope::several : crash_scope::single;
 }
 
 // The worker's previous instance has crashed unless it was shutting down.
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -609,6 +609,30 @@
     CHECK(fixture.subject.counts().worker_crashes == 1);
 }
 
+// Reports come every 500 ms, and an idle worker returns lists every 500 ms.
+TEST_CASE("A crash is not explained by workers whose lists are merely as old as they may be",
+          "[scheduler][crashes]") {
+    scheduler_fixture fixture;
+    for (const auto* host : {"h1", "h2", "h3"}) {
+        fixture.add_worker(host);
+    }
+    fixture.submit(job_of("j", 1, 8));
+    fixture.reports["h2"].lists_age = 490ms;
+    fixture.reports["h3"].lists_age = 490ms;
+    fixture.run_pass();
+    REQUIRE(fixture.run_count("h1") == 1);
+    fixture.now += 390ms;
+    auto& report = fixture.reports["h1"];
+    report.facts.instance.version = incarnation{2};
+    report.runs.clear();
+    fixture.subject.drain_decision_events();
+    fixture.subject.handle_report(report, fixture.now);
+    const auto events = fixture.subject.drain_decision_events();
+    REQUIRE_FALSE(events.empty());
+    CHECK(events.front().event == "worker-crashed");
+    CHECK(events.front().detail.find("no other worker crashed") != std::string::npos);
+}
+
 // The capacity of a worker shrinks below what its runs use.
 TEST_CASE("Preemption on a worker that is over its capacity frees enough at once",
           "[scheduler][capacity]") {
