--- a/src/baobabrack/workload/crash_record.cpp
+++ b/src/baobabrack/workload/crash_record.cpp
@@ -12,8 +12,10 @@
 // at fault.
 constexpr std::uint32_t max_repeated_crashes = 2;
 constexpr std::uint32_t max_repeated_crashes_in_doubt = 3;
-// A task is not started again after this many crashes if all of them were early or several of them
-// were in trials.
+// A task is not started again after this many early crashes. A crash that no leader has seen leaves
+// room for one more start.
+constexpr std::uint32_t max_early_crashes = 4;
+// A task is not started again after this many crashes if several of them were in trials.
 constexpr std::uint32_t max_crashes = 5;
 constexpr std::uint32_t min_trial_crashes = 3;
 // Accuracy of the run time at a crash: the time between two lists, and some delay.
@@ -96,7 +98,7 @@
 bool crashes_workers(const crash_record& record) {
     const bool proved = record.on_several_hosts && !record.other_causes;
     const auto limit = proved ? max_repeated_crashes : max_repeated_crashes_in_doubt;
-    return record.repeated_crashes >= limit || record.early_crashes >= max_crashes ||
+    return record.repeated_crashes >= limit || record.early_crashes >= max_early_crashes ||
            (record.crashes >= max_crashes && record.trial_crashes >= min_trial_crashes);
 }
 
