Apply the end of a run that was taken for lost while its task waits

What callers saw: a task that had ended as done ran again, and its job was late by that run. No rule speaks against it once the lease has lapsed in between.

Cause: after a lease expired unheard, the task waited for its next run, and an end that the returning guard then reported was 'not the current run': it was acknowledged and dropped, an end as failed as well, so an attempt was not counted either.

Such an end now applies if the task still waits and has not started again.

--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -100,9 +100,17 @@
     const auto ref = find(end.task);
     const bool current = ref && ref->task->phase == task_phase::assigned &&
                          ref->task->run == end.run && ref->task->place == place;
-    add_decision_event(
-        "run-ended", end.task, end.run, place.host,
-        std::string{to_string(end.outcome)} + (current ? "" : ", not the current run"));
+    // The run was taken for lost when its lease expired, and the task has not started again.
+    const bool lost = ref && ref->task->phase == task_phase::waiting && ref->task->run == end.run &&
+                      ref->task->place == place;
+    add_decision_event("run-ended", end.task, end.run, place.host,
+                       std::string{to_string(end.outcome)} +
+                           (lost ? ", taken for lost before" : "") +
+                           (current || lost ? "" : ", not the current run"));
+    if (lost) {
+        apply_end_of_lost_run(end, *ref);
+        return;
+    }
     if (!current) {
         return;
     }
@@ -129,6 +137,23 @@
     requeue_task(end.task, *ref, end.checkpoint);
 }
 
+// The end tells more than the loss: the task may be done, or has used up an attempt.
+void scheduler::apply_end_of_lost_run(const ended_run& end, const task_ref& ref) {
+    if (end.outcome == run_outcome::done) {
+        ++counts_.done;
+        ref.task->phase = task_phase::done;
+    } else if (end.outcome == run_outcome::failed) {
+        ++counts_.failed;
+        ++ref.task->failures;
+    }
+    if (!end.checkpoint.empty() && ref.step->checkpoints) {
+        ref.task->checkpoint = end.checkpoint;
+    }
+    ref.job->dirty = true;
+    ref.job->needs_update = true;
+    capacity_changed_ = true;
+}
+
 // Records the run time against its estimate, once per gang, if the run started from the beginning
 // and had a fast placement and a worker of normal speed.
 void scheduler::record_run_time(const task_ref& ref, time_point now) {
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -633,6 +633,30 @@
     CHECK(events.front().detail.find("no other worker crashed") != std::string::npos);
 }
 
+// The guard was down until the lease had expired, and then reports an end from before.
+TEST_CASE("The end of a run that was taken for lost counts while its task waits", "[scheduler]") {
+    scheduler_fixture fixture;
+    fixture.add_worker("h1");
+    auto job = job_of("j", 1, 1);
+    job.most_attempts = 1;
+    fixture.submit(job);
+    fixture.run_pass();
+    REQUIRE(fixture.run_count("h1") == 1);
+    const auto outcome = GENERATE(run_outcome::done, run_outcome::failed);
+    const auto run = fixture.reports["h1"].runs.front();
+    fixture.reports["h1"].runs.clear();
+    fixture.now += 20s;
+    fixture.subject.decide(&fixture.config, fixture.now, fixture.wall_now);
+    fixture.subject.mark_stored(fixture.subject.drain_batch(true));
+    REQUIRE(fixture.subject.counts().lost == 1);
+    fixture.reports["h1"].ends.push_back(
+        {.sequence = 1, .task = run.task, .run = run.run, .outcome = outcome});
+    fixture.run_pass();
+    CHECK(fixture.subject.counts().started == 1);
+    CHECK(fixture.subject.open_jobs() == 0);
+    CHECK(fixture.subject.counts().done == (outcome == run_outcome::done ? 1 : 0));
+}
+
 // The capacity of a worker shrinks below what its runs use.
 TEST_CASE("Preemption on a worker that is over its capacity frees enough at once",
           "[scheduler][capacity]") {
