Tell a loss of power by when the other workers began

Cause: a new leader without earlier lists took a crash that it noticed within 5 s of another for a loss of all power, and counted nothing. The class of fault: what is not known is taken for the harmless case.

Guards now report how long their worker's instance has run, by its own clock, and a crash is excused only if nearly all workers that the leader has heard of began again at the same time. Runs that were assigned when the worker was down already, and not confirmed, are not counted. Each judgement is logged as early-crash.

--- a/src/baobabrack/workload/announcement_age.cpp
+++ b/src/baobabrack/workload/announcement_age.cpp
@@ -40,7 +40,11 @@
     if (!announced_) {
         return since_arrival;
     }
-    return std::max(since_arrival, now.time_since_epoch() + *offset_ - since_epoch(*announced_));
+    return std::max(since_arrival, worker_clock(now) - since_epoch(*announced_));
+}
+
+duration announcement_age::worker_clock(time_point now) const {
+    return offset_ ? now.time_since_epoch() + *offset_ : duration::zero();
 }
 
 }  // namespace baobabrack::workload
--- a/src/baobabrack/workload/crash_record.cpp
+++ b/src/baobabrack/workload/crash_record.cpp
@@ -45,7 +45,7 @@
 
 std::vector<std::size_t> find_suspects(const std::vector<crashed_run>& runs,
                                        const crash_circumstances& crash) {
-    if (crash.scope == crash_scope::several || crash.scope == crash_scope::nearly_all) {
+    if (crash.scope == crash_scope::several) {
         return {};
     }
     auto suspects = select(runs, [](const crashed_run& run) { return run.on_trial; });
@@ -62,12 +62,7 @@
     return suspects;
 }
 
-void record_early_crash(crash_record& record, const crashed_run& run, crash_scope scope) {
-    const bool explained =
-        scope == crash_scope::nearly_all || (scope == crash_scope::unknown && !run.on_trial);
-    if (explained || is_settled(run.run_time)) {
-        return;
-    }
+void record_early_crash(crash_record& record) {
     ++record.early_crashes;
     if (record.early_crashes >= crashes_until_trial) {
         record.trial = std::max(record.trial, settle_time);
--- a/src/baobabrack/workload/crash_record.hpp
+++ b/src/baobabrack/workload/crash_record.hpp
@@ -58,8 +58,6 @@
     unknown,
     /// Another worker did that had no run that may have caused it.
     several,
-    /// Nearly all workers did, as when power is lost.
-    nearly_all,
 };
 
 /// What else is known of a crash.
@@ -86,7 +84,7 @@
 /// Counts a crash that came before the run had settled. It may be the task's even if another worker
 /// crashed at that time, so the number of such crashes is limited, and the second one orders a
 /// trial.
-void record_early_crash(crash_record& record, const crashed_run& run, crash_scope scope);
+void record_early_crash(crash_record& record);
 
 /// Adds a crash to the record of a task that ran on the worker. Orders a trial for a suspect whose
 /// run was young, and for every task to which this has happened before.
--- a/src/baobabrack/workload/report_codec.cpp
+++ b/src/baobabrack/workload/report_codec.cpp
@@ -76,6 +76,7 @@
                          .lease_remaining = std::chrono::milliseconds{message.lease_left_ms()},
                          .lists_age = std::chrono::milliseconds{message.lists_age_ms()},
                          .capacity_outdated = message.capacity_outdated(),
+                         .worker_age = std::chrono::milliseconds{message.worker_age_ms()},
                          .runs = {},
                          .ends = {},
                          .refusals = {}};
@@ -118,6 +119,7 @@
     message.set_lease_left_ms(to_ms(report.lease_remaining));
     message.set_lists_age_ms(to_ms(report.lists_age));
     message.set_capacity_outdated(report.capacity_outdated);
+    message.set_worker_age_ms(to_ms(report.worker_age));
     if (report.previous_instance) {
         message.mutable_previous_worker()->set_worker(report.previous_instance->worker.get());
         message.mutable_previous_worker()->set_incarnation(report.previous_instance->version.get());
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -84,6 +84,8 @@
     duration lists_age{};
     /// The worker has not announced its capacity for too long, so the guard starts nothing.
     bool capacity_outdated = false;
+    /// How long this instance of the worker has run, by its own clock.
+    duration worker_age{};
     std::vector<reported_run> runs;
     std::vector<ended_run> ends;
     std::vector<refused_run> refusals;
@@ -280,6 +282,19 @@
         task_progress* task = nullptr;
         task_state* state = nullptr;
     };
+    /// When a worker was down.
+    struct outage {
+        host_id host;
+        /// When it last returned lists; zero if this leader does not know.
+        time_point last_lists{};
+        /// When its next instance began, or the latest time at which it may have.
+        time_point next_began{};
+    };
+    /// A run that was lost early in a crash of its worker.
+    struct early_crash {
+        task_name task;
+        outage when;
+    };
     struct waiting_group {
         open_job* job = nullptr;
         task_group group;
@@ -312,13 +327,15 @@
     std::vector<task_ref> runs_of_other_instances(const worker_instance& place);
     void handle_new_instance(worker_state& worker, const worker_report& report, time_point now);
     void handle_worker_crash(worker_state& worker, const worker_instance& current,
-                             const std::string& sign, time_point now);
-    crash_scope scope_of_crash(const worker_state& worker, time_point now);
+                             const std::string& sign, time_point began, time_point now);
+    crash_scope scope_of_crash(const worker_state& worker, time_point began, time_point now);
     bool has_suspicious_runs(const host_id& host);
     bool is_silent(const worker_state& worker, time_point now) const;
-    bool has_surviving_runs(const worker_state& worker);
-    static void record_early_crashes(const std::vector<task_ref>& lost,
-                                     const std::vector<crashed_run>& runs, crash_scope scope);
+    static bool survived(const worker_state& worker, const outage& other);
+    bool is_power_lost(const outage& crash) const;
+    void note_early_crashes(const std::vector<task_ref>& lost, const std::vector<crashed_run>& runs,
+                            const outage& when);
+    void judge_early_crashes();
     void record_run_crash(const task_ref& ref, const crashed_run& run, bool suspect,
                           const crash_circumstances& crash, time_point now);
     void update_trial(const task_name& name, const task_ref& ref);
@@ -385,6 +402,8 @@
     std::map<host_id, std::set<task_name>> runs_by_host_;
     // Assigned tasks that are on trial and have not passed it.
     std::set<task_name> trials_;
+    // Not counted before the other workers have been heard of.
+    std::vector<early_crash> early_crashes_;
     // When a worker last crashed without a run that may have caused it.
     time_point last_unexplained_crash_{};
     std::set<host_id> changed_hosts_;
--- a/src/baobabrack/workload/scheduler_crashes.cpp
+++ b/src/baobabrack/workload/scheduler_crashes.cpp
@@ -12,8 +12,10 @@
 // Lists are renewed every 500 ms at least, so those of workers that crash at the same moment differ
 // by at most this.
 constexpr duration simultaneous_crash_window = std::chrono::seconds{1};
-// After a loss of all power, workers come back within this time of each other.
+// After a loss of all power, leaders hear of all workers within this time.
 constexpr duration power_loss_window = std::chrono::seconds{5};
+// Workers that lost their power together begin again within this time of each other.
+constexpr duration simultaneous_begin_window = std::chrono::seconds{2};
 // A worker that responds returns lists more often than this.
 constexpr duration max_list_interval = std::chrono::milliseconds{800};
 // For this long after an unexplained crash, further ones are expected.
@@ -30,8 +32,6 @@
             return "all power may have been lost";
         case crash_scope::several:
             return "other workers crashed as well";
-        case crash_scope::nearly_all:
-            return "nearly all workers crashed";
     }
     return "unknown";
 }
@@ -85,19 +85,32 @@
            now > worker.last_heard + options_.silence_limit;
 }
 
-// Returns whether the worker still has runs that an earlier leader assigned, so that it has not
-// lost its power since.
-bool scheduler::has_surviving_runs(const worker_state& worker) {
-    const auto& runs = runs_by_host_[worker.facts.instance.host];
-    return worker.responding && std::any_of(runs.begin(), runs.end(), [&](const task_name& name) {
-               const auto ref = find(name);
-               return ref && ref->state->restored && ref->task->place == worker.facts.instance;
-           });
+// Returns whether the worker was running while another one was down.
+bool scheduler::survived(const worker_state& worker, const outage& other) {
+    const bool observed = other.last_lists != time_point{} &&
+                          worker.first_heard <= other.last_lists &&
+                          worker.lists_at > other.last_lists + max_list_interval;
+    return worker.last_heard != time_point{} &&
+           (observed || worker.began + simultaneous_begin_window < other.next_began);
+}
+
+// Returns whether nearly all workers that this leader has heard of were down at the same time.
+bool scheduler::is_power_lost(const outage& crash) const {
+    std::size_t others = 0;
+    std::size_t survivors = 0;
+    for (const auto& [host, other] : workers_.all()) {
+        if (host != crash.host && other.last_heard != time_point{}) {
+            ++others;
+            survivors += survived(other, crash) ? 1U : 0U;
+        }
+    }
+    return others > 0 && survivors <= others / spared_worker_divisor;
 }
 
 // Compares the crash with what is known of the other workers at that time. Task by task, two tasks
 // may crash their workers at once; a worker without such a task has another cause.
-crash_scope scheduler::scope_of_crash(const worker_state& worker, time_point now) {
+crash_scope scheduler::scope_of_crash(const worker_state& worker, time_point began,
+                                      time_point now) {
     const bool observed = worker.lists_at != time_point{};
     const auto is_near = [&](time_point lists_at) {
         return lists_at != time_point{} && lists_at < worker.lists_at + simultaneous_crash_window &&
@@ -106,8 +119,6 @@
     bool others_run = false;
     bool unexplained = false;
     bool crashed_recently = false;
-    std::size_t others_near = 0;
-    std::size_t survivors = 0;
     for (const auto& [host, other] : workers_.all()) {
         if (&other == &worker) {
             continue;
@@ -116,23 +127,18 @@
         const bool crashed_near = crashed && is_near(other.crashed_lists_at);
         const bool silent_near = is_near(other.lists_at) && is_silent(other, now);
         others_run = others_run || other.responding;
-        others_near += crashed_near || silent_near ? 1U : 0U;
         unexplained = unexplained || (crashed_near && !other.crash_had_suspects) ||
                       (silent_near && !has_suspicious_runs(host));
         crashed_recently =
             crashed_recently || (crashed && now < other.crash_noticed_at + power_loss_window);
-        survivors += has_surviving_runs(other) ? 1U : 0U;
     }
-    const auto others = workers_.all().size() - 1;
-    const auto spared = others / spared_worker_divisor;
     if (!observed) {
-        const bool power_lost = survivors <= spared && (crashed_recently || !others_run);
+        const bool power_lost =
+            (crashed_recently || !others_run) &&
+            is_power_lost({.host = worker.facts.instance.host, .next_began = began});
         const auto doubt = crashed_recently ? crash_scope::several : crash_scope::single;
         return power_lost ? crash_scope::unknown : doubt;
     }
-    if (others > 0 && others_near >= others - spared) {
-        return crash_scope::nearly_all;
-    }
     return unexplained ? crash_scope::several : crash_scope::single;
 }
 
@@ -148,13 +154,14 @@
     const bool replaced = !first_contact || worker.lists_at != time_point{} ||
                           !runs_of_other_instances(instance).empty();
     if (replaced && !worker.facts.draining) {
-        handle_worker_crash(worker, instance, "a new instance has announced itself", now);
+        handle_worker_crash(worker, instance, "a new instance has announced itself",
+                            now - report.worker_age, now);
     }
     mark_runs_lost(instance, "a newer worker instance runs on the host");
 }
 
 void scheduler::handle_worker_crash(worker_state& worker, const worker_instance& current,
-                                    const std::string& sign, time_point now) {
+                                    const std::string& sign, time_point began, time_point now) {
     const auto lost = runs_of_other_instances(current);
     std::vector<crashed_run> runs;
     std::string text;
@@ -168,12 +175,10 @@
                 to_ms_text(runs.back().run_time) + (runs.back().begun ? "" : ", not confirmed");
     }
     worker.crash_had_suspects = has_suspicious_runs(current.host);
-    crash_circumstances crash{.host = current.host, .scope = scope_of_crash(worker, now)};
+    crash_circumstances crash{.host = current.host, .scope = scope_of_crash(worker, began, now)};
     worker.crashed_lists_at = worker.lists_at;
     worker.crash_noticed_at = now;
-    const bool common_cause =
-        crash.scope == crash_scope::several || crash.scope == crash_scope::nearly_all;
-    if (!worker.crash_had_suspects || common_cause) {
+    if (!worker.crash_had_suspects || crash.scope == crash_scope::several) {
         last_unexplained_crash_ = now;
     }
     crash.other_causes = last_unexplained_crash_ != time_point{} &&
@@ -185,8 +190,10 @@
     add_decision_event("worker-crashed", {}, {}, current.host,
                        sign + "; worker " + worker.facts.instance.worker.get() + ", " +
                            std::string{to_string(crash.scope)} + ", runs: " + text);
-    record_early_crashes(lost, runs, crash.scope);
-    if (common_cause) {
+    note_early_crashes(
+        lost, runs,
+        {.host = current.host, .last_lists = worker.crashed_lists_at, .next_began = began});
+    if (crash.scope == crash_scope::several) {
         return;
     }
     const auto suspects = find_suspects(runs, crash);
@@ -198,15 +205,40 @@
     }
 }
 
-// Runs whose start has not been stored cannot have been started.
-void scheduler::record_early_crashes(const std::vector<task_ref>& lost,
-                                     const std::vector<crashed_run>& runs, crash_scope scope) {
+// Runs whose start has not been stored cannot have been started. Nor can those that were assigned
+// when the worker was down already, and whose start it has not confirmed.
+void scheduler::note_early_crashes(const std::vector<task_ref>& lost,
+                                   const std::vector<crashed_run>& runs, const outage& when) {
     for (std::size_t index = 0; index < runs.size(); ++index) {
         const auto& ref = lost[index];
-        if (ref.state->stored_run == ref.task->run) {
-            record_early_crash(ref.task->crashes, runs[index], scope);
-            ref.job->dirty = true;
+        const bool was_down = !runs[index].begun && !ref.state->restored &&
+                              when.last_lists != time_point{} &&
+                              ref.state->assigned_at > when.last_lists + max_list_interval;
+        const bool stored = ref.state->stored_run == ref.task->run;
+        if (stored && !was_down && !is_settled(runs[index].run_time)) {
+            early_crashes_.push_back({.task = name_of(ref), .when = when});
+        }
+    }
+}
+
+// Counts the early crashes unless power was lost, which shows once the other workers have reported.
+void scheduler::judge_early_crashes() {
+    for (const auto& crash : std::exchange(early_crashes_, {})) {
+        const auto ref = find(crash.task);
+        if (!ref) {
+            continue;
+        }
+        const bool power_lost = is_power_lost(crash.when);
+        if (!power_lost) {
+            record_early_crash(ref->task->crashes);
+            ref->job->dirty = true;
+            ref->job->needs_update = true;
         }
+        add_decision_event(
+            "early-crash", crash.task, ref->task->run, crash.when.host,
+            power_lost
+                ? "not counted, nearly all workers were down"
+                : "counted, " + std::to_string(ref->task->crashes.early_crashes) + " so far");
     }
 }
 
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -70,6 +70,9 @@
 
 void scheduler::decide(const workload_config* config, time_point now, wall_time wall_now) {
     expire_silent_workers(now);
+    if (config != nullptr) {
+        judge_early_crashes();
+    }
     update_jobs(wall_now);
     if (config == nullptr || !placement_due(*config, now)) {
         return;
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -48,6 +48,7 @@
         stored_ends_.erase(worker.facts.instance);
         worker.facts.instance = instance;
         worker.lists_at = {};
+        worker.first_heard = {};
         worker.used = used_by(instance);
         worker.history = {};
         worker.speed = {};
@@ -62,6 +63,8 @@
     worker.facts = report.facts;
     worker.capacity_outdated = report.capacity_outdated;
     worker.last_heard = now;
+    worker.first_heard = worker.first_heard == time_point{} ? now : worker.first_heard;
+    worker.began = now - report.worker_age;
     worker.responding = responding;
     if (!report.lease_suspended) {
         worker.lease_expired_after =
@@ -432,7 +435,7 @@
             // A silent guard means that the host is unreachable or down, not its worker alone.
             if (worker.renewal_suspended && now <= worker.last_heard + options_.silence_limit) {
                 handle_worker_crash(worker, none, "it has not responded until its lease expired",
-                                    now);
+                                    now, now);
             }
             mark_runs_lost(none, "the worker's lease expired");
         }
--- a/src/baobabrack/workload/worker_guard.cpp
+++ b/src/baobabrack/workload/worker_guard.cpp
@@ -122,7 +122,8 @@
         lease_.reset(first_instance ? loop_.now() + options_.max_lease : time_point{});
         log_event(log_level::info, "worker-announced")
             .field("worker", instance.worker.get())
-            .field("incarnation", instance.version.get());
+            .field("incarnation", instance.version.get())
+            .field("clock_ms", announcement.clock ? announcement.clock->get() : 0);
     }
     const bool starts_draining =
         announcement.facts.draining && (!same_instance || !facts_->draining);
@@ -190,6 +191,7 @@
         report.lists_age = loop_.now() - last_lists_at_;
         check_announcement_age();
         report.capacity_outdated = capacity_outdated_;
+        report.worker_age = announcement_age_.worker_clock(loop_.now());
         report.previous_instance = previous_instance_;
         report.previous_lists_age = loop_.now() - previous_lists_at_;
         runs_.add_to(report, reports_sent_ + 1);
--- a/src/baobabrack/workload/worker_table.hpp
+++ b/src/baobabrack/workload/worker_table.hpp
@@ -107,6 +107,10 @@
     worker_facts facts;
     /// When the last report of its guard arrived.
     time_point last_heard{};
+    /// When the first report of this worker instance arrived.
+    time_point first_heard{};
+    /// When the worker instance began, by its own clock.
+    time_point began{};
     /// When the worker returned its latest run lists; zero if this leader has seen none.
     time_point lists_at{};
     /// The same of the last instance that crashed; zero if this is unknown.
