Reproduce the endless attempts of a gang that kills its workers

The gangs of entries have the cause of the crashing task as well: attempts that end as member_lost are not counted, so a gang that kills the worker of each attempt starts again for ever. Found by looking for the same cause elsewhere.

--- a/tests/gangs/gang_runner.tests.cpp
+++ b/tests/gangs/gang_runner.tests.cpp
@@ -37,6 +37,24 @@
     }
 }
 
+// As for jobs of workloads: no sixth attempt after each attempt before has killed its worker.
+TEST_CASE("A gang that kills every worker on which it starts is given up", "[gangs][known-red]") {
+    gang_rig rig(8);
+    rig.submit(make_job("j1", 1, 1, "run_ms=20000"));
+    for (int kill = 0; kill < 6; ++kill) {
+        rig.run(1s);
+        for (const auto& [name, worker] : rig.platform.alive()) {
+            if (!worker->held().empty()) {
+                rig.platform.kill(name);
+                break;
+            }
+        }
+        rig.run(60s);
+    }
+    CHECK(rig.state.find(job_id{"j1"})->attempt <= attempt_number{5});
+    CHECK(rig.phase("j1") == job_phase::failed);
+}
+
 TEST_CASE("A cancelled job stops", "[gangs]") {
     gang_rig rig;
     rig.submit(make_job("j1", 4, 4, "run_ms=20000"));
