--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -79,6 +79,20 @@
         }
     }
 
+    /// Reports a new instance of the worker, which runs nothing.
+    ///
+    /// @return the first event that this causes
+    scheduler::decision_event crash(const std::string& host) {
+        auto& report = reports[host];
+        report.facts.instance.version = incarnation{2};
+        report.runs.clear();
+        subject.drain_decision_events();
+        subject.handle_report(report, now);
+        const auto events = subject.drain_decision_events();
+        REQUIRE_FALSE(events.empty());
+        return events.front();
+    }
+
     std::size_t run_count(const std::string& host) { return reports[host].runs.size(); }
     std::size_t run_count(const std::string& host, const std::string& job) {
         const auto& runs = reports[host].runs;
@@ -596,16 +610,10 @@
     }
     fixture.submit(job_of("young", 1, 1));
     fixture.run_pass();
-    auto& report = fixture.reports["h1"];
-    report.facts.instance.version = incarnation{2};
-    report.runs.clear();
-    fixture.subject.drain_decision_events();
-    fixture.subject.handle_report(report, fixture.now);
-    const auto events = fixture.subject.drain_decision_events();
-    REQUIRE_FALSE(events.empty());
-    CHECK(events.front().event == "worker-crashed");
-    CHECK(events.front().detail.find("old.0.0.0 after 1900 ms") != std::string::npos);
-    CHECK(events.front().detail.find("young.0.0.0 after 0 ms") != std::string::npos);
+    const auto event = fixture.crash("h1");
+    CHECK(event.event == "worker-crashed");
+    CHECK(event.detail.find("old.0.0.0 after 1900 ms") != std::string::npos);
+    CHECK(event.detail.find("young.0.0.0 after 0 ms") != std::string::npos);
     CHECK(fixture.subject.counts().worker_crashes == 1);
 }
 
@@ -622,15 +630,9 @@
     fixture.run_pass();
     REQUIRE(fixture.run_count("h1") == 1);
     fixture.now += 390ms;
-    auto& report = fixture.reports["h1"];
-    report.facts.instance.version = incarnation{2};
-    report.runs.clear();
-    fixture.subject.drain_decision_events();
-    fixture.subject.handle_report(report, fixture.now);
-    const auto events = fixture.subject.drain_decision_events();
-    REQUIRE_FALSE(events.empty());
-    CHECK(events.front().event == "worker-crashed");
-    CHECK(events.front().detail.find("no other worker crashed") != std::string::npos);
+    const auto event = fixture.crash("h1");
+    CHECK(event.event == "worker-crashed");
+    CHECK(event.detail.find("no other worker crashed") != std::string::npos);
 }
 
 // The guard was down until the lease had expired, and then reports an end from before.
