Do not keep sound work waiting for trials that nothing calls for

Cause: a trial was ordered for everything that a second crash hit, and held the rest of the job, as if each task of it were suspected. A cause in the task shows again as long after the start; otherwise nothing is known.

A settled run now gets a trial only when it crashes as long after its start as before. Lasting tasks get none after a first crash, and do not wait for one of their job that is on trial.

--- a/src/baobabrack/workload/crash_record.cpp
+++ b/src/baobabrack/workload/crash_record.cpp
@@ -22,8 +22,8 @@
 constexpr duration run_time_tolerance = std::chrono::milliseconds{750};
 // Suspicions against a long-running task do not add up over its life.
 constexpr duration record_lifetime = std::chrono::seconds{30};
-// Other runs get a trial only when it happens again: most crashes have other causes, and a trial
-// withholds free capacity.
+// Other runs get a trial only when it happens again, as long after the start if they had settled:
+// most crashes have other causes, and a trial withholds free capacity.
 constexpr std::uint32_t crashes_until_trial = 2;
 
 template <typename Condition>
@@ -81,11 +81,13 @@
         ++record.repeated_crashes;
         record.on_several_hosts = record.on_several_hosts || record.last_host != crash.host;
     }
+    const bool young = run.on_trial || !is_settled(run.run_time);
+    const bool again = record.crashes >= crashes_until_trial &&
+                       (young || (run.begun && difference <= run_time_tolerance));
     record.last_host = crash.host;
     record.last_run_time = run.begun ? run.run_time : record.last_run_time;
     record.other_causes = record.other_causes || crash.other_causes;
-    const bool young = run.on_trial || !is_settled(run.run_time);
-    if ((suspect && young) || record.crashes >= crashes_until_trial) {
+    if ((suspect && young && !run.long_running) || again) {
         record.trial = std::max(record.trial, run.run_time + settle_time);
     }
 }
--- a/src/baobabrack/workload/crash_record.hpp
+++ b/src/baobabrack/workload/crash_record.hpp
@@ -48,6 +48,8 @@
     /// Whether `run_time` covers the run from its start. It does not if this leader took the run
     /// over and has not seen it listed.
     bool observed = true;
+    /// The task serves as long as it runs, so it does not wait for a trial after its first crash.
+    bool long_running = false;
 };
 
 /// Which workers crashed at the same time.
@@ -87,7 +89,8 @@
 void record_early_crash(crash_record& record);
 
 /// Adds a crash to the record of a task that ran on the worker. Orders a trial for a suspect whose
-/// run was young, and for every task to which this has happened before.
+/// run was young unless it is long-running, and for a task to which this has happened before, if
+/// its run was young or had lasted as long then.
 void record_crash(crash_record& record, const crashed_run& run, bool suspect,
                   const crash_circumstances& crash);
 
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -372,7 +372,7 @@
     void add_waiting_groups(open_job& job, time_point now, std::vector<waiting_group>& into);
     std::vector<host_id> find_excluded_hosts(const open_job& job, time_point now) const;
     void place_groups(std::vector<waiting_group>& groups, time_point now);
-    void keep_only_trial(std::vector<waiting_group>& groups) const;
+    void separate_trials(std::vector<waiting_group>& groups) const;
     bool may_begin_trial(const placement_pass& pass);
     void place_group(waiting_group& waiting, placement_pass& pass);
     bool can_wait_until(const waiting_group& waiting, time_point begin, time_point now) const;
--- a/src/baobabrack/workload/scheduler_crashes.cpp
+++ b/src/baobabrack/workload/scheduler_crashes.cpp
@@ -170,7 +170,8 @@
         runs.push_back({.on_trial = trials_.contains(name_of(ref)),
                         .run_time = confirmed_run_time(ref),
                         .begun = ref.state->begun,
-                        .observed = listed || !ref.state->restored});
+                        .observed = listed || !ref.state->restored,
+                        .long_running = ref.step->long_running});
         text += (text.empty() ? "" : ", ") + to_text(name_of(ref)) + " after " +
                 to_ms_text(runs.back().run_time) + (runs.back().begun ? "" : ", not confirmed");
     }
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -46,6 +46,11 @@
     return work;
 }
 
+bool has_long_running_step(const job_spec& spec) {
+    return std::any_of(spec.steps.begin(), spec.steps.end(),
+                       [](const step_spec& step) { return step.long_running; });
+}
+
 // The completion time that the job's queue promises.
 duration objective_of(const job_spec& spec) {
     return from_seconds(to_seconds(critical_path_time(spec)) * spec.slack_factor) +
@@ -290,12 +295,12 @@
         if (job.cancelled || job.failed) {
             continue;
         }
-        if (has_trial(id)) {
+        if (has_trial(id) && !has_long_running_step(job.spec)) {
             continue;
         }
         std::vector<waiting_group> job_groups;
         add_waiting_groups(job, now, job_groups);
-        keep_only_trial(job_groups);
+        separate_trials(job_groups);
         const auto rank = job_groups.empty() ? 0 : rank_of(job.spec, job.progress, wall_now);
         for (auto& waiting : job_groups) {
             waiting.rank = rank;
@@ -349,29 +354,48 @@
     }
 }
 
-// If a task of the job needs a trial, keeps only that task, or its gang. The other tasks of the job
-// wait: they may crash workers as well, and their work is lost if the job is given up.
-void scheduler::keep_only_trial(std::vector<waiting_group>& groups) const {
+// Makes a group of its own of each task that needs a trial, or of its gang. If there is one, the
+// other tasks of the job wait: they may crash workers as well, and their work is lost if the job is
+// given up. Long-running tasks do not wait, since each serves by itself.
+void scheduler::separate_trials(std::vector<waiting_group>& groups) const {
+    std::vector<waiting_group> trials;
     for (auto& waiting : groups) {
         const auto& occurrences = waiting.job->progress.occurrences;
         const auto occurrence = std::find_if(
             occurrences.begin(), occurrences.end(),
             [&](const auto& other) { return other.number == waiting.group.step.occurrence; });
         const auto& tasks = occurrence->steps[waiting.group.step.step];
-        for (const auto index : waiting.group.tasks) {
-            if (tasks[index].crashes.trial == duration::zero()) {
-                continue;
+        const auto needs_trial = [&](std::uint32_t index) {
+            return tasks[index].crashes.trial > duration::zero();
+        };
+        auto& waiting_tasks = waiting.group.tasks;
+        if (waiting.group.spec->gang) {
+            if (std::any_of(waiting_tasks.begin(), waiting_tasks.end(), needs_trial)) {
+                trials.push_back(waiting);
+                waiting_tasks.clear();
             }
-            auto trial = std::move(waiting);
-            trial.group.on_trial = true;
-            if (!trial.group.spec->gang) {
-                trial.group.tasks = {index};
+            continue;
+        }
+        for (const auto index : waiting_tasks) {
+            if (needs_trial(index)) {
+                trials.push_back(waiting);
+                trials.back().group.tasks = {index};
             }
-            groups.clear();
-            groups.push_back(std::move(trial));
-            return;
         }
+        std::erase_if(waiting_tasks, needs_trial);
+    }
+    if (trials.empty()) {
+        return;
+    }
+    for (auto& trial : trials) {
+        trial.group.on_trial = true;
+    }
+    if (!has_long_running_step(trials.front().job->spec)) {
+        groups = {std::move(trials.front())};
+        return;
     }
+    std::erase_if(groups, [](const waiting_group& waiting) { return waiting.group.tasks.empty(); });
+    groups.insert(groups.end(), trials.begin(), trials.end());
 }
 
 // Limits the share of the hosts that are closed by trials.
--- a/tests/workload/changing_capacity.tests.cpp
+++ b/tests/workload/changing_capacity.tests.cpp
@@ -119,3 +119,44 @@
     // The fake workers announce themselves every 700 ms.
     CHECK(cluster.run_until([&] { return cluster.runs_started == 8; }, 900ms));
 }
+
+TEST_CASE(
+    "Lasting tasks and gangs restart within the capacity that is left, and all run again later",
+    "[workload][capacity]") {
+    const auto seed = GENERATE(range(1, 21));
+    INFO("seed " << seed);
+    simulated_cluster cluster(static_cast<std::uint64_t>(seed), {.hosts = 4, .run_time = 1000s});
+    cluster.run_for(2s);
+    const auto full = cluster.worker(0).capacity();
+    auto lasting = short_job("lasting", 6, 2);
+    lasting.steps.front().long_running = true;
+    REQUIRE(cluster.submit(lasting));
+    auto gang = short_job("gang", 4, 3);
+    gang.steps.front().gang = true;
+    gang.steps.front().estimated = 1000s;
+    REQUIRE(cluster.submit(gang));
+    const auto running = [&] {
+        std::size_t runs = 0;
+        for (unsigned host = 0; host < 4; ++host) {
+            runs += cluster.worker(host).running();
+        }
+        return runs;
+    };
+    REQUIRE(cluster.run_until([&] { return running() == 10; }, 5s));
+    for (int round = 0; round < 6; ++round) {
+        const auto host = static_cast<unsigned>(cluster.loop.random() % 4);
+        cluster.worker(host).set_capacity(
+            share_of(full, static_cast<std::uint32_t>(cluster.loop.random() % 3) * 25));
+        cluster.drop_announcements((host + 1) % 4, cluster.loop.random() % 3 == 0);
+        cluster.run_for(std::chrono::milliseconds{cluster.loop.random() % 1500});
+        cluster.crash_worker(static_cast<unsigned>(cluster.loop.random() % 4), 1s);
+        cluster.run_for(3s);
+    }
+    for (unsigned host = 0; host < 4; ++host) {
+        cluster.worker(host).set_capacity(full);
+        cluster.drop_announcements(host, false);
+    }
+    CHECK(cluster.run_until([&] { return running() == 10; }, 30s));
+    CHECK(cluster.phase("lasting") == workload::job_phase::active);
+    CHECK(cluster.violations.empty());
+}
--- a/tests/workload/crashing_tasks.tests.cpp
+++ b/tests/workload/crashing_tasks.tests.cpp
@@ -38,6 +38,10 @@
     }
 };
 
+workload::host_id host_id_of(simulated_cluster& cluster, unsigned index) {
+    return cluster.worker(index).facts().instance.host;
+}
+
 std::vector<std::string> submit_sound_jobs(simulated_cluster& cluster) {
     std::vector<std::string> sound;
     for (int number = 0; number < 6; ++number) {
@@ -332,3 +336,36 @@
     }
     CHECK(cluster.phase("lasting") == workload::job_phase::active);
 }
+
+// Trials one after another kept lasting tasks away for longer than six seconds.
+TEST_CASE("Lasting tasks that were young in one crash all run again without delay",
+          "[workload][crashes]") {
+    simulated_cluster cluster(1, {.hosts = 6, .run_time = 10'000s});
+    cluster.run_for(2s);
+    auto job = long_job("lasting", 8, 1);
+    job.steps.front().long_running = true;
+    REQUIRE(cluster.submit(job));
+    REQUIRE(cluster.run_until([&] { return cluster.runs_started == 8; }, 5s));
+    cluster.run_for(300ms);
+    cluster.crash_worker(cluster.busy_host(), 1s);
+    CHECK(cluster.run_until([&] { return cluster.runs_started == 16; }, 6s));
+    cluster.run_for(10s);
+    CHECK(cluster.runs_started == 16);
+}
+
+TEST_CASE("The other lasting tasks of a job do not wait for one on trial", "[workload][crashes]") {
+    crashing_cluster cluster(10ms, 1, 10'000s);
+    auto job = long_job("crashing", 4, 8);
+    job.steps.front().long_running = true;
+    REQUIRE(cluster.submit(job));
+    const workload::task_name other{.step = {.job = job_id{"crashing"}}, .index = 1};
+    REQUIRE(cluster.run_until_starts(2));
+    cluster.run_for(500ms);
+    const auto starts = cluster.runs_of[other];
+    unsigned host = 0;
+    while (host_id_of(cluster, host) != cluster.last_host[other]) {
+        ++host;
+    }
+    cluster.crash_worker(host, 500ms);
+    CHECK(cluster.run_until([&] { return cluster.runs_of[other] > starts; }, 6s));
+}
