Play more seeds of the crash and capacity tests by hand

The cases with random crashes and capacities had fixed seed ranges, so a longer run meant an edit that was not kept. The count of crashes under one task moves from one case into the cluster, where others can use it.

--- a/tests/workload/changing_capacity.tests.cpp
+++ b/tests/workload/changing_capacity.tests.cpp
@@ -24,7 +24,7 @@
 
 TEST_CASE("No run starts beyond a capacity that has shrunk, and all jobs end once it has grown",
           "[workload][capacity]") {
-    const auto seed = GENERATE(range(1, 41), value(48));
+    const auto seed = GENERATE(range(1, 1 + seed_count(40)), value(48));
     INFO("seed " << seed);
     simulated_cluster cluster(static_cast<std::uint64_t>(seed), {.hosts = 4, .run_time = 2s});
     cluster.run_for(2s);
@@ -123,7 +123,7 @@
 TEST_CASE(
     "Lasting tasks and gangs restart within the capacity that is left, and all run again later",
     "[workload][capacity]") {
-    const auto seed = GENERATE(range(1, 21));
+    const auto seed = GENERATE(range(1, 1 + seed_count(20)));
     INFO("seed " << seed);
     simulated_cluster cluster(static_cast<std::uint64_t>(seed), {.hosts = 4, .run_time = 1000s});
     cluster.run_for(2s);
--- a/tests/workload/crashing_tasks.tests.cpp
+++ b/tests/workload/crashing_tasks.tests.cpp
@@ -72,13 +72,6 @@
         cluster.run_for(std::chrono::milliseconds{500 + cluster.loop.random() % 2500});
         crash_one_or_two(cluster, crash % 3 == 0);
     }
-    const auto most_crashes = [&](const std::string& id) {
-        unsigned most = 0;
-        for (const auto& [task, crashes] : cluster.crashes_under) {
-            most = task.step.job == job_id{id} ? std::max(most, crashes) : most;
-        }
-        return most;
-    };
     const auto all_ended = [&] {
         return std::all_of(sound.begin(), sound.end(), [&](const std::string& id) {
             return workload::has_ended(*cluster.phase(id));
@@ -86,8 +79,8 @@
     };
     CHECK(cluster.run_until(all_ended, 60s));
     for (const auto& id : sound) {
-        INFO(id << ": " << most_crashes(id) << " crashes under one task");
-        CHECK((cluster.completed(id) || most_crashes(id) >= 4));
+        INFO(id << ": " << cluster.most_crashes(id) << " crashes under one task");
+        CHECK((cluster.completed(id) || cluster.most_crashes(id) >= 4));
     }
     CHECK(cluster.violations.empty());
 }
@@ -124,7 +117,7 @@
 }
 
 TEST_CASE("Sound jobs complete beside a task that crashes its workers", "[workload][crashes]") {
-    const auto seed = GENERATE(range(1, 11));
+    const auto seed = GENERATE(range(1, 1 + seed_count(10)));
     const auto delay = GENERATE(10ms, 2000ms);
     INFO("seed " << seed << ", crash " << delay.count() << " ms after the start");
     crashing_cluster cluster(delay, static_cast<std::uint64_t>(seed));
@@ -202,7 +195,7 @@
 
 TEST_CASE("Crashes under a task are counted although answers of the store get lost",
           "[workload][crashes]") {
-    const auto seed = GENERATE(range(1, 9));
+    const auto seed = GENERATE(range(1, 1 + seed_count(8)));
     INFO("seed " << seed);
     crashing_cluster cluster(10ms, static_cast<std::uint64_t>(seed));
     REQUIRE(cluster.submit(long_job("crashing", 1, 1)));
@@ -245,7 +238,8 @@
 
 TEST_CASE("Crashes under a task are counted while workers, leaders and guards crash at random",
           "[workload][crashes]") {
-    const auto seed = GENERATE(range(1, 41), value(186), value(212), value(226), value(257));
+    const auto seed =
+        GENERATE(range(1, 1 + seed_count(40)), value(186), value(212), value(226), value(257));
     const bool with_guards = GENERATE(false, true);
     INFO("seed " << seed << (with_guards ? ", guards are killed as well" : ""));
     crashing_cluster cluster(10ms, static_cast<std::uint64_t>(seed));
@@ -271,7 +265,7 @@
 }
 
 TEST_CASE("Sound jobs are not given up when workers crash by other causes", "[workload][crashes]") {
-    const auto seed = GENERATE(range(1, 41));
+    const auto seed = GENERATE(range(1, 1 + seed_count(40)));
     INFO("seed " << seed);
     simulated_cluster cluster(static_cast<std::uint64_t>(seed), {.hosts = 6, .run_time = 4s});
     cluster.run_for(2s);
@@ -291,7 +285,7 @@
 TEST_CASE(
     "When workers crash all the time, a job is given up only after many crashes under one task",
     "[workload][crashes]") {
-    crash_workers_all_the_time(GENERATE(range(1, 21)));
+    crash_workers_all_the_time(GENERATE(range(1, 1 + seed_count(20))));
 }
 
 TEST_CASE("A start on a worker that is down does not count as a crash under the task",
--- a/tests/workload/simulated_cluster.cpp
+++ b/tests/workload/simulated_cluster.cpp
@@ -1,5 +1,7 @@
 #include "workload/simulated_cluster.hpp"
 
+#include <cstdlib>
+
 namespace baobabrack::testing {
 
 namespace {
@@ -239,6 +241,14 @@
     return phase(id) == workload::job_phase::completed;
 }
 
+unsigned simulated_cluster::most_crashes(const std::string& id) const {
+    unsigned most = 0;
+    for (const auto& [task, crashes] : crashes_under) {
+        most = task.step.job == job_id{id} ? std::max(most, crashes) : most;
+    }
+    return most;
+}
+
 void simulated_cluster::run_started(const workload::task_name& task, workload::run_number run,
                                     const workload::worker_instance& where) {
     ++runs_started;
@@ -274,6 +284,11 @@
     violations.push_back(where.host.get() + " exceeds its capacity");
 }
 
+int seed_count(int usual) {
+    const char* const wanted = std::getenv("BAOBABRACK_TEST_SEEDS");
+    return wanted == nullptr ? usual : std::max(usual, std::atoi(wanted));
+}
+
 workload::job_spec job_of(const std::string& id, std::uint32_t tasks,
                           std::uint32_t accelerators_per_task, bool gang) {
     workload::job_spec spec;
--- a/tests/workload/simulated_cluster.hpp
+++ b/tests/workload/simulated_cluster.hpp
@@ -111,6 +111,9 @@
     std::optional<workload::job_phase> phase(const std::string& id);
     bool completed(const std::string& id);
 
+    /// @return how many workers have crashed under one task of the job
+    unsigned most_crashes(const std::string& id) const;
+
     /// Violated invariants, one line each.
     std::vector<std::string> violations;
 
@@ -161,6 +164,11 @@
     std::set<job_id> submitted_;
 };
 
+/// @return how many seeds a test plays: as many as the variable BAOBABRACK_TEST_SEEDS says, for
+/// runs
+///         by hand, or `usual`
+int seed_count(int usual);
+
 /// @return a job with a single step
 workload::job_spec job_of(const std::string& id, std::uint32_t tasks,
                           std::uint32_t accelerators_per_task, bool gang = false);
