Count every crash under a task, and know which starts were sent

And nothing told a start that crashed its worker from one that was sent to a worker that was down, nor, under a new leader, whether a lost run had begun.

Change: each run lost in a crash is stored as an excused crash at once and judged once the guards have reported, early or settled, alone or beside other crashes; the fourth early crash and the fifth in all, excused ones included, end the job. Guards report for 30 s which starts the worker's previous instance got. The start of a task with a record of crashes is sent only to a worker that has just responded. Lists count from when their own renewal was sent, not the newest one. Long-running tasks whose trial would have to wait start without it: the wider tolerance orders more trials, and eight such tasks waited for each other. The events early-crash and task-suspected are one, run-crashed, for every lost run.

--- a/src/baobabrack/workload/crash_record.cpp
+++ b/src/baobabrack/workload/crash_record.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "baobabrack/workload/worker_table.hpp"
+
 namespace baobabrack::workload {
 
 namespace {
@@ -15,11 +17,12 @@
 // A task is not started again after this many early crashes. A crash that no leader has seen leaves
 // room for one more start.
 constexpr std::uint32_t max_early_crashes = 4;
-// A task is not started again after this many crashes if several of them were in trials.
+// Nor after this many crashes, excused ones included, if this many of them count.
 constexpr std::uint32_t max_crashes = 5;
-constexpr std::uint32_t min_trial_crashes = 3;
-// Accuracy of the run time at a crash: the time between two lists, and some delay.
-constexpr duration run_time_tolerance = std::chrono::milliseconds{750};
+constexpr std::uint32_t min_counted_crashes = 3;
+// Accuracy of the run time at a crash: the worker has listed the run only until its latest lists,
+// and their age is known to some hundred milliseconds.
+constexpr duration run_time_tolerance = max_list_age + std::chrono::milliseconds{300};
 // Suspicions against a long-running task do not add up over its life.
 constexpr duration record_lifetime = std::chrono::seconds{30};
 // Other runs get a trial only when it happens again, as long after the start if they had settled:
@@ -49,9 +52,6 @@
         return {};
     }
     auto suspects = select(runs, [](const crashed_run& run) { return run.on_trial; });
-    if (crash.scope == crash_scope::unknown) {
-        return suspects;
-    }
     if (suspects.empty()) {
         suspects = select(
             runs, [](const crashed_run& run) { return run.observed && !is_settled(run.run_time); });
@@ -62,28 +62,36 @@
     return suspects;
 }
 
-void record_early_crash(crash_record& record) {
-    ++record.early_crashes;
-    if (record.early_crashes >= crashes_until_trial) {
-        record.trial = std::max(record.trial, settle_time);
-    }
+void note_crash(crash_record& record) {
+    ++record.excused_crashes;
+}
+
+void forget_crash(crash_record& record) {
+    --record.excused_crashes;
 }
 
-void record_crash(crash_record& record, const crashed_run& run, bool suspect,
-                  const crash_circumstances& crash) {
-    const auto difference = std::chrono::abs(run.run_time - record.last_run_time);
-    const bool attributed = suspect && run.on_trial && crash.scope == crash_scope::single;
+void count_crash(crash_record& record, const crashed_run& run, bool suspect,
+                 const crash_circumstances& crash) {
+    --record.excused_crashes;
     ++record.crashes;
-    if (attributed) {
-        ++record.trial_crashes;
+    const bool settled = is_settled(run.run_time);
+    record.early_crashes += settled ? 0 : 1;
+    if (record.early_crashes >= crashes_until_trial) {
+        record.trial = std::max(record.trial, settle_time);
     }
-    if (attributed && run.begun && difference <= run_time_tolerance) {
-        ++record.repeated_crashes;
-        record.on_several_hosts = record.on_several_hosts || record.last_host != crash.host;
+    if (crash.scope == crash_scope::several) {
+        return;
+    }
+    const bool same_run_time =
+        run.begun && std::chrono::abs(run.run_time - record.last_run_time) <= run_time_tolerance;
+    if (suspect && run.on_trial) {
+        ++record.trial_crashes;
+        record.repeated_crashes += same_run_time ? 1 : 0;
+        record.on_several_hosts =
+            record.on_several_hosts || (same_run_time && record.last_host != crash.host);
     }
-    const bool young = run.on_trial || !is_settled(run.run_time);
-    const bool again = record.crashes >= crashes_until_trial &&
-                       (young || (run.begun && difference <= run_time_tolerance));
+    const bool young = run.on_trial || !settled;
+    const bool again = record.crashes >= crashes_until_trial && (young || same_run_time);
     record.last_host = crash.host;
     record.last_run_time = run.begun ? run.run_time : record.last_run_time;
     record.other_causes = record.other_causes || crash.other_causes;
@@ -95,8 +103,10 @@
 bool crashes_workers(const crash_record& record) {
     const bool proved = record.on_several_hosts && !record.other_causes;
     const auto limit = proved ? max_repeated_crashes : max_repeated_crashes_in_doubt;
+    const bool too_many = record.crashes >= min_counted_crashes &&
+                          record.crashes + record.excused_crashes >= max_crashes;
     return record.repeated_crashes >= limit || record.early_crashes >= max_early_crashes ||
-           (record.crashes >= max_crashes && record.trial_crashes >= min_trial_crashes);
+           too_many;
 }
 
 bool outlives_record(const crash_record& record, duration run_time) {
--- a/src/baobabrack/workload/crash_record.hpp
+++ b/src/baobabrack/workload/crash_record.hpp
@@ -16,10 +16,12 @@
 /// next run starts on a worker where no other run starts until the trial has passed. A task that
 /// causes crashes does so each time as long after its start, which other causes do not.
 struct crash_record {
-    /// Crashes of workers that had a run of the task.
+    /// Crashes of workers that had a run of the task, whatever else crashed at that time.
     std::uint32_t crashes = 0;
-    /// Those that came before the run had settled, whatever else crashed at that time.
+    /// Those that came before the run had settled.
     std::uint32_t early_crashes = 0;
+    /// Crashes that have another cause, or have not been judged yet.
+    std::uint32_t excused_crashes = 0;
     /// Crashes during trials.
     std::uint32_t trial_crashes = 0;
     /// Crashes during trials that came as long after the start as the crash before.
@@ -56,8 +58,6 @@
 enum class crash_scope {
     /// No other worker did, or each of them had a run that may have caused it.
     single,
-    /// All power may have been lost: the leader knows too little of the time before.
-    unknown,
     /// Another worker did that had no run that may have caused it.
     several,
 };
@@ -76,26 +76,27 @@
 
 /// Selects the runs that may have caused the crash of their worker: the runs on trial; if there are
 /// none, those that started shortly before; if there are none, all of them. There are no suspects
-/// if several workers crashed or nearly all of them, and only runs on trial if all power may have
-/// been lost.
+/// if several workers crashed.
 ///
 /// @return indices into `runs`
 std::vector<std::size_t> find_suspects(const std::vector<crashed_run>& runs,
                                        const crash_circumstances& crash);
 
-/// Counts a crash that came before the run had settled. It may be the task's even if another worker
-/// crashed at that time, so the number of such crashes is limited, and the second one orders a
-/// trial.
-void record_early_crash(crash_record& record);
+/// Notes a crash that has not been judged yet. Until then it is excused, so that it is not
+/// forgotten if another leader takes over.
+void note_crash(crash_record& record);
 
-/// Adds a crash to the record of a task that ran on the worker. Orders a trial for a suspect whose
-/// run was young unless it is long-running, and for a task to which this has happened before, if
-/// its run was young or had lasted as long then.
-void record_crash(crash_record& record, const crashed_run& run, bool suspect,
-                  const crash_circumstances& crash);
+/// Forgets a crash that has been noted, since the run had not been started.
+void forget_crash(crash_record& record);
 
-/// @return whether the task is to be given up: its trials have ended in the same crash again, or it
-///         has crashed so often that another start is not justified
+/// Counts a crash that has been noted. Orders a trial for a suspect whose run was young unless it
+/// is long-running, for a task to which this has happened before, if its run was young or had
+/// lasted as long then, and after the second early crash, whatever else crashed.
+void count_crash(crash_record& record, const crashed_run& run, bool suspect,
+                 const crash_circumstances& crash);
+
+/// @return whether the task is to be given up: its trials have ended in the same crash again, or so
+///         many workers have crashed under it that another start is not justified
 bool crashes_workers(const crash_record& record);
 
 /// @return whether a run has lasted so long that the record no longer applies
--- a/src/baobabrack/workload/guarded_runs.cpp
+++ b/src/baobabrack/workload/guarded_runs.cpp
@@ -105,6 +105,19 @@
     return changes;
 }
 
+std::vector<sent_run> guarded_runs::sent_runs() const {
+    std::vector<sent_run> sent;
+    for (const auto& run : runs_) {
+        sent.push_back({.task = run.task, .run = run.run, .begun = true});
+    }
+    for (const auto& [key, start] : starts_) {
+        if (!is_listed(key) && !has_ended(key)) {
+            sent.push_back({.task = key.first, .run = key.second, .begun = start.accepted});
+        }
+    }
+    return sent;
+}
+
 void guarded_runs::add_to(worker_report& report, std::uint64_t report_number) {
     report.lists_known = lists_known_;
     report.runs = runs_;
--- a/src/baobabrack/workload/guarded_runs.hpp
+++ b/src/baobabrack/workload/guarded_runs.hpp
@@ -92,6 +92,9 @@
     list_changes apply_lists(std::uint64_t renewal, const run_lists& lists,
                              std::uint64_t ends_stored);
 
+    /// @return the runs that the worker has or may have
+    std::vector<sent_run> sent_runs() const;
+
     /// Adds the lists, pending starts and refusals to a report.
     void add_to(worker_report& report, std::uint64_t report_number);
 
--- a/src/baobabrack/workload/job_progress.cpp
+++ b/src/baobabrack/workload/job_progress.cpp
@@ -50,6 +50,7 @@
 crash_record from_wire(const wire::WorkloadCrashes& record) {
     return {.crashes = record.crashes(),
             .early_crashes = record.early_crashes(),
+            .excused_crashes = record.excused_crashes(),
             .trial_crashes = record.trial_crashes(),
             .repeated_crashes = record.repeated_crashes(),
             .on_several_hosts = record.on_several_hosts(),
@@ -62,6 +63,7 @@
 void to_wire(const crash_record& crashes, wire::WorkloadCrashes& record) {
     record.set_crashes(crashes.crashes);
     record.set_early_crashes(crashes.early_crashes);
+    record.set_excused_crashes(crashes.excused_crashes);
     record.set_trial_crashes(crashes.trial_crashes);
     record.set_repeated_crashes(crashes.repeated_crashes);
     record.set_on_several_hosts(crashes.on_several_hosts);
--- a/src/baobabrack/workload/report_codec.cpp
+++ b/src/baobabrack/workload/report_codec.cpp
@@ -28,7 +28,7 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(ms, 0));
 }
 
-run_outcome from_wire(wire::WorkloadEnd::How how) {
+run_outcome outcome_from_wire(wire::WorkloadEnd::How how) {
     switch (how) {
         case wire::WorkloadEnd::DONE:
             return run_outcome::done;
@@ -47,7 +47,7 @@
     }
 }
 
-wire::WorkloadEnd::How to_wire(run_outcome how) {
+wire::WorkloadEnd::How outcome_to_wire(run_outcome how) {
     switch (how) {
         case run_outcome::done:
             return wire::WorkloadEnd::DONE;
@@ -67,6 +67,33 @@
     return wire::WorkloadEnd::UNKNOWN;
 }
 
+replaced_worker replaced_from_wire(const wire::WorkloadReport& message) {
+    const auto& previous = message.previous_worker();
+    replaced_worker replaced{
+        .instance = {.host = host_id{message.host()},
+                     .worker = worker_id{previous.worker()},
+                     .version = incarnation{previous.incarnation()}},
+        .lists_age = std::chrono::milliseconds{message.previous_lists_age_ms()},
+        .runs = {}};
+    for (const auto& run : message.previous_runs()) {
+        replaced.runs.push_back(
+            {.task = from_wire(run.task()), .run = run_number{run.run()}, .begun = run.begun()});
+    }
+    return replaced;
+}
+
+void replaced_to_wire(const replaced_worker& replaced, wire::WorkloadReport& message) {
+    message.mutable_previous_worker()->set_worker(replaced.instance.worker.get());
+    message.mutable_previous_worker()->set_incarnation(replaced.instance.version.get());
+    message.set_previous_lists_age_ms(to_ms(replaced.lists_age));
+    for (const auto& run : replaced.runs) {
+        auto& encoded = *message.add_previous_runs();
+        *encoded.mutable_task() = to_wire(run.task);
+        encoded.set_run(run.run.get());
+        encoded.set_begun(run.begun);
+    }
+}
+
 }  // namespace
 
 worker_report from_wire(const wire::WorkloadReport& message) {
@@ -81,11 +108,7 @@
                          .ends = {},
                          .refusals = {}};
     if (message.has_previous_worker()) {
-        report.previous_instance = {
-            .host = host_id{message.host()},
-            .worker = worker_id{message.previous_worker().worker()},
-            .version = incarnation{message.previous_worker().incarnation()}};
-        report.previous_lists_age = std::chrono::milliseconds{message.previous_lists_age_ms()};
+        report.replaced = replaced_from_wire(message);
     }
     for (const auto& run : message.runs()) {
         report.runs.push_back({.task = from_wire(run.task()),
@@ -100,7 +123,7 @@
         report.ends.push_back({.sequence = end.number(),
                                .task = from_wire(end.task()),
                                .run = run_number{end.run()},
-                               .outcome = from_wire(end.how()),
+                               .outcome = outcome_from_wire(end.how()),
                                .checkpoint = end.checkpoint()});
     }
     for (const auto& refusal : message.refusals()) {
@@ -120,10 +143,8 @@
     message.set_lists_age_ms(to_ms(report.lists_age));
     message.set_capacity_outdated(report.capacity_outdated);
     message.set_worker_age_ms(to_ms(report.worker_age));
-    if (report.previous_instance) {
-        message.mutable_previous_worker()->set_worker(report.previous_instance->worker.get());
-        message.mutable_previous_worker()->set_incarnation(report.previous_instance->version.get());
-        message.set_previous_lists_age_ms(to_ms(report.previous_lists_age));
+    if (report.replaced) {
+        replaced_to_wire(*report.replaced, message);
     }
     for (const auto& run : report.runs) {
         auto& encoded = *message.add_runs();
@@ -140,7 +161,7 @@
         encoded.set_number(end.sequence);
         *encoded.mutable_task() = to_wire(end.task);
         encoded.set_run(end.run.get());
-        encoded.set_how(to_wire(end.outcome));
+        encoded.set_how(outcome_to_wire(end.outcome));
         encoded.set_checkpoint(end.checkpoint);
     }
     for (const auto& refusal : report.refusals) {
@@ -162,6 +183,7 @@
         encoded.set_payload(start.payload);
         encoded.set_checkpoint(start.checkpoint);
         needs_to_wire(start.needs, encoded);
+        encoded.set_confirm_worker(start.confirm_worker);
     }
     for (const auto& known : orders.needs) {
         auto& encoded = *message.add_needs();
@@ -189,7 +211,8 @@
                                  .run = run_number{start.run()},
                                  .payload = start.payload(),
                                  .checkpoint = start.checkpoint(),
-                                 .needs = needs_from_wire(start)});
+                                 .needs = needs_from_wire(start),
+                                 .confirm_worker = start.confirm_worker()});
     }
     for (const auto& known : message.needs()) {
         orders.needs.push_back({.task = from_wire(known.task()),
--- a/src/baobabrack/workload/scheduler.cpp
+++ b/src/baobabrack/workload/scheduler.cpp
@@ -73,12 +73,12 @@
             ++counts_.lost;
             add_decision_event("run-lost", name, ref.task->run, place.host,
                                "a newer worker instance runs on the host");
-            early_crashes_.push_back(
-                {.task = name, .when = {.host = place.host, .next_began = assigned_worker->began}});
-            if (trials_.contains(name)) {
-                record_run_crash(ref, {.on_trial = true, .observed = false}, true,
-                                 {.host = place.host, .scope = crash_scope::unknown}, now);
-            }
+            note_lost_run(
+                ref,
+                {.task = name,
+                 .run = {.on_trial = trials_.contains(name), .begun = false, .observed = false},
+                 .crash = {.host = place.host, .scope = crash_scope::several},
+                 .when = {.host = place.host, .next_began = assigned_worker->began}});
             requeue_task(name, ref, "");
         }
     });
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "baobabrack/workload/capacity_forecast.hpp"
+#include "baobabrack/workload/crash_record.hpp"
 #include "baobabrack/workload/job_table.hpp"
 #include "baobabrack/workload/preemption.hpp"
 #include "baobabrack/workload/progress_rate.hpp"
@@ -70,6 +71,23 @@
     std::string reason;
 };
 
+/// A run whose start a guard has sent.
+struct sent_run {
+    task_name task;
+    run_number run;
+    /// The worker has listed the run or accepted its start.
+    bool begun = false;
+};
+
+/// The instance of a worker that another one has replaced, as reported by its guard.
+struct replaced_worker {
+    worker_instance instance;
+    /// Time since it returned its latest lists.
+    duration lists_age{};
+    /// The runs that it may have had.
+    std::vector<sent_run> runs;
+};
+
 /// The state of a worker as reported by its guard.
 struct worker_report {
     worker_facts facts;
@@ -89,10 +107,8 @@
     std::vector<reported_run> runs;
     std::vector<ended_run> ends;
     std::vector<refused_run> refusals;
-    /// The instance that ran on the host before, if this guard has seen its lists.
-    std::optional<worker_instance> previous_instance;
-    /// Time since the previous instance returned its latest lists.
-    duration previous_lists_age{};
+    /// The instance that ran on the host before, if this guard has recently seen its lists.
+    std::optional<replaced_worker> replaced;
 };
 
 /// A run that the worker should execute.
@@ -102,6 +118,9 @@
     std::string payload;
     std::string checkpoint;
     resources needs;
+    /// Earlier runs of the task were lost with their workers, so the start is sent only to a worker
+    /// that has just responded.
+    bool confirm_worker = false;
 };
 
 struct stop_order {
@@ -240,6 +259,8 @@
         /// How often runs of the task have been preempted.
         std::uint32_t preemption_count = 0;
         time_point assigned_at{};
+        /// The guard has sent the start of the current run.
+        bool sent = false;
         /// The worker has confirmed that the current run has begun.
         bool begun = false;
         /// When the worker's lists first and last contained the current run; zero if they have
@@ -290,10 +311,25 @@
         /// When its next instance began, or the latest time at which it may have.
         time_point next_began{};
     };
-    /// A run that was lost early in a crash of its worker.
-    struct early_crash {
+    /// A run that was lost in a crash of its worker.
+    struct lost_run {
         task_name task;
+        crashed_run run;
+        bool suspect = false;
+        crash_circumstances crash;
         outage when;
+        /// The guard has not sent the start to the worker.
+        bool never_sent = false;
+    };
+    /// What tells that a worker has crashed.
+    struct crash_sign {
+        std::string text;
+        /// The instance that is there instead; without a worker id if there is none yet.
+        worker_instance current;
+        /// When the current instance began, or the latest time at which it may have.
+        time_point began{};
+        /// The instance of which the guard has told which starts it has sent.
+        std::optional<worker_instance> starts_known;
     };
     struct waiting_group {
         open_job* job = nullptr;
@@ -326,18 +362,15 @@
     resources used_by(const worker_instance& instance);
     std::vector<task_ref> runs_of_other_instances(const worker_instance& place);
     void handle_new_instance(worker_state& worker, const worker_report& report, time_point now);
-    void handle_worker_crash(worker_state& worker, const worker_instance& current,
-                             const std::string& sign, time_point began, time_point now);
-    crash_scope scope_of_crash(const worker_state& worker, time_point began, time_point now);
+    void record_sent_runs(const replaced_worker& replaced);
+    void handle_worker_crash(worker_state& worker, const crash_sign& sign, time_point now);
+    crash_scope scope_of_crash(const worker_state& worker, time_point now);
     bool has_suspicious_runs(const host_id& host);
     bool is_silent(const worker_state& worker, time_point now) const;
     static bool survived(const worker_state& worker, const outage& other);
     bool is_power_lost(const outage& crash) const;
-    void note_early_crashes(const std::vector<task_ref>& lost, const std::vector<crashed_run>& runs,
-                            const outage& when);
-    void judge_early_crashes();
-    void record_run_crash(const task_ref& ref, const crashed_run& run, bool suspect,
-                          const crash_circumstances& crash, time_point now);
+    void note_lost_run(const task_ref& ref, lost_run lost);
+    void judge_lost_runs(time_point now);
     void update_trial(const task_name& name, const task_ref& ref);
     bool has_trial(const job_id& job) const;
     std::set<host_id> trial_hosts();
@@ -374,6 +407,7 @@
     void place_groups(std::vector<waiting_group>& groups, time_point now);
     void separate_trials(std::vector<waiting_group>& groups) const;
     bool may_begin_trial(const placement_pass& pass);
+    void skip_trial(waiting_group& waiting);
     void place_group(waiting_group& waiting, placement_pass& pass);
     bool can_wait_until(const waiting_group& waiting, time_point begin, time_point now) const;
     bool place_or_reserve(waiting_group& waiting, placement_pass& pass);
@@ -402,8 +436,8 @@
     std::map<host_id, std::set<task_name>> runs_by_host_;
     // Assigned tasks that are on trial and have not passed it.
     std::set<task_name> trials_;
-    // Not counted before the other workers have been heard of.
-    std::vector<early_crash> early_crashes_;
+    // Not judged before the other workers have been heard of.
+    std::vector<lost_run> lost_runs_;
     // When a worker last crashed without a run that may have caused it.
     time_point last_unexplained_crash_{};
     std::set<host_id> changed_hosts_;
--- a/src/baobabrack/workload/scheduler_crashes.cpp
+++ b/src/baobabrack/workload/scheduler_crashes.cpp
@@ -16,8 +16,6 @@
 constexpr duration power_loss_window = std::chrono::seconds{5};
 // Workers that lost their power together begin again within this time of each other.
 constexpr duration simultaneous_begin_window = std::chrono::seconds{2};
-// A worker that responds returns lists more often than this.
-constexpr duration max_list_interval = std::chrono::milliseconds{800};
 // For this long after an unexplained crash, further ones are expected.
 constexpr duration other_causes_window = std::chrono::seconds{60};
 
@@ -28,8 +26,6 @@
     switch (scope) {
         case crash_scope::single:
             return "no other worker crashed without a suspect";
-        case crash_scope::unknown:
-            return "all power may have been lost";
         case crash_scope::several:
             return "other workers crashed as well";
     }
@@ -81,7 +77,7 @@
 // Returns whether the worker did not return lists when its guard last reported, or its guard is
 // silent as well.
 bool scheduler::is_silent(const worker_state& worker, time_point now) const {
-    return worker.last_heard - worker.lists_at > max_list_interval ||
+    return worker.last_heard - worker.lists_at > max_list_age ||
            now > worker.last_heard + options_.silence_limit;
 }
 
@@ -89,7 +85,7 @@
 bool scheduler::survived(const worker_state& worker, const outage& other) {
     const bool observed = other.last_lists != time_point{} &&
                           worker.first_heard <= other.last_lists &&
-                          worker.lists_at > other.last_lists + max_list_interval;
+                          worker.lists_at > other.last_lists + max_list_age;
     return worker.last_heard != time_point{} &&
            (observed || worker.began + simultaneous_begin_window < other.next_began);
 }
@@ -109,14 +105,12 @@
 
 // Compares the crash with what is known of the other workers at that time. Task by task, two tasks
 // may crash their workers at once; a worker without such a task has another cause.
-crash_scope scheduler::scope_of_crash(const worker_state& worker, time_point began,
-                                      time_point now) {
+crash_scope scheduler::scope_of_crash(const worker_state& worker, time_point now) {
     const bool observed = worker.lists_at != time_point{};
     const auto is_near = [&](time_point lists_at) {
         return lists_at != time_point{} && lists_at < worker.lists_at + simultaneous_crash_window &&
                worker.lists_at < lists_at + simultaneous_crash_window;
     };
-    bool others_run = false;
     bool unexplained = false;
     bool crashed_recently = false;
     for (const auto& [host, other] : workers_.all()) {
@@ -126,20 +120,13 @@
         const bool crashed = other.crash_noticed_at != time_point{};
         const bool crashed_near = crashed && is_near(other.crashed_lists_at);
         const bool silent_near = is_near(other.lists_at) && is_silent(other, now);
-        others_run = others_run || other.responding;
         unexplained = unexplained || (crashed_near && !other.crash_had_suspects) ||
                       (silent_near && !has_suspicious_runs(host));
         crashed_recently =
             crashed_recently || (crashed && now < other.crash_noticed_at + power_loss_window);
     }
-    if (!observed) {
-        const bool power_lost =
-            (crashed_recently || !others_run) &&
-            is_power_lost({.host = worker.facts.instance.host, .next_began = began});
-        const auto doubt = crashed_recently ? crash_scope::several : crash_scope::single;
-        return power_lost ? crash_scope::unknown : doubt;
-    }
-    return unexplained ? crash_scope::several : crash_scope::single;
+    const bool several = observed ? unexplained : crashed_recently;
+    return several ? crash_scope::several : crash_scope::single;
 }
 
 // The worker's previous instance has crashed unless it was shutting down.
@@ -147,22 +134,37 @@
                                     time_point now) {
     const auto& instance = report.facts.instance;
     const bool first_contact = worker.last_heard == time_point{};
-    if (report.previous_instance &&
-        (first_contact || worker.facts.instance == *report.previous_instance)) {
-        worker.lists_at = now - report.previous_lists_age;
+    crash_sign sign{.text = "a new instance has announced itself",
+                    .current = instance,
+                    .began = now - report.worker_age,
+                    .starts_known = std::nullopt};
+    if (report.replaced && (first_contact || worker.facts.instance == report.replaced->instance)) {
+        worker.lists_at = now - report.replaced->lists_age;
+        record_sent_runs(*report.replaced);
+        sign.starts_known = report.replaced->instance;
     }
-    const bool replaced = !first_contact || worker.lists_at != time_point{} ||
-                          !runs_of_other_instances(instance).empty();
-    if (replaced && !worker.facts.draining) {
-        handle_worker_crash(worker, instance, "a new instance has announced itself",
-                            now - report.worker_age, now);
+    const bool has_predecessor = !first_contact || worker.lists_at != time_point{} ||
+                                 !runs_of_other_instances(instance).empty();
+    if (has_predecessor && !worker.facts.draining) {
+        handle_worker_crash(worker, sign, now);
     }
     mark_runs_lost(instance, "a newer worker instance runs on the host");
 }
 
-void scheduler::handle_worker_crash(worker_state& worker, const worker_instance& current,
-                                    const std::string& sign, time_point began, time_point now) {
-    const auto lost = runs_of_other_instances(current);
+void scheduler::record_sent_runs(const replaced_worker& replaced) {
+    for (const auto& run : replaced.runs) {
+        const auto ref = find(run.task);
+        if (ref && ref->task->phase == task_phase::assigned && ref->task->run == run.run &&
+            ref->task->place == replaced.instance) {
+            ref->state->sent = true;
+            ref->state->begun = ref->state->begun || run.begun;
+        }
+    }
+}
+
+void scheduler::handle_worker_crash(worker_state& worker, const crash_sign& sign, time_point now) {
+    const auto& host = sign.current.host;
+    const auto lost = runs_of_other_instances(sign.current);
     std::vector<crashed_run> runs;
     std::string text;
     for (const auto& ref : lost) {
@@ -175,8 +177,8 @@
         text += (text.empty() ? "" : ", ") + to_text(name_of(ref)) + " after " +
                 to_ms_text(runs.back().run_time) + (runs.back().begun ? "" : ", not confirmed");
     }
-    worker.crash_had_suspects = has_suspicious_runs(current.host);
-    crash_circumstances crash{.host = current.host, .scope = scope_of_crash(worker, began, now)};
+    worker.crash_had_suspects = has_suspicious_runs(host);
+    crash_circumstances crash{.host = host, .scope = scope_of_crash(worker, now)};
     worker.crashed_lists_at = worker.lists_at;
     worker.crash_noticed_at = now;
     if (!worker.crash_had_suspects || crash.scope == crash_scope::several) {
@@ -188,76 +190,65 @@
         return;
     }
     ++counts_.worker_crashes;
-    add_decision_event("worker-crashed", {}, {}, current.host,
-                       sign + "; worker " + worker.facts.instance.worker.get() + ", " +
+    add_decision_event("worker-crashed", {}, {}, host,
+                       sign.text + "; worker " + worker.facts.instance.worker.get() + ", " +
                            std::string{to_string(crash.scope)} + ", runs: " + text);
-    note_early_crashes(
-        lost, runs,
-        {.host = current.host, .last_lists = worker.crashed_lists_at, .next_began = began});
-    if (crash.scope == crash_scope::several) {
-        return;
-    }
+    const outage when{
+        .host = host, .last_lists = worker.crashed_lists_at, .next_began = sign.began};
     const auto suspects = find_suspects(runs, crash);
     for (std::size_t index = 0; index < runs.size(); ++index) {
-        const bool suspect = std::find(suspects.begin(), suspects.end(), index) != suspects.end();
-        if (suspect || crash.scope == crash_scope::single) {
-            record_run_crash(lost[index], runs[index], suspect, crash, now);
-        }
+        const auto& ref = lost[index];
+        note_lost_run(
+            ref, {.task = name_of(ref),
+                  .run = runs[index],
+                  .suspect = std::find(suspects.begin(), suspects.end(), index) != suspects.end(),
+                  .crash = crash,
+                  .when = when,
+                  .never_sent = sign.starts_known == ref.task->place && !ref.state->sent});
     }
 }
 
-// Runs whose start has not been stored cannot have been started. Nor can those that were assigned
-// when the worker was down already, and whose start it has not confirmed.
-void scheduler::note_early_crashes(const std::vector<task_ref>& lost,
-                                   const std::vector<crashed_run>& runs, const outage& when) {
-    for (std::size_t index = 0; index < runs.size(); ++index) {
-        const auto& ref = lost[index];
-        const bool was_down = !runs[index].begun && !ref.state->restored &&
-                              when.last_lists != time_point{} &&
-                              ref.state->assigned_at > when.last_lists + max_list_interval;
-        const bool stored = ref.state->stored_run == ref.task->run;
-        if (stored && !was_down && !is_settled(runs[index].run_time)) {
-            early_crashes_.push_back({.task = name_of(ref), .when = when});
-        }
+// A run whose assignment has not been stored cannot have been started.
+void scheduler::note_lost_run(const task_ref& ref, lost_run lost) {
+    if (ref.state->stored_run != ref.task->run) {
+        return;
     }
+    note_crash(ref.task->crashes);
+    ref.job->dirty = true;
+    lost_runs_.push_back(std::move(lost));
 }
 
-// Counts the early crashes unless power was lost, which shows once the other workers have reported.
-void scheduler::judge_early_crashes() {
-    for (const auto& crash : std::exchange(early_crashes_, {})) {
-        const auto ref = find(crash.task);
+// Counts the crashes under each task unless they have another cause. A loss of all power shows only
+// once the other workers have reported.
+void scheduler::judge_lost_runs(time_point now) {
+    for (const auto& lost : std::exchange(lost_runs_, {})) {
+        const auto ref = find(lost.task);
         if (!ref) {
             continue;
         }
-        const bool power_lost = is_power_lost(crash.when);
-        if (!power_lost) {
-            record_early_crash(ref->task->crashes);
-            ref->job->dirty = true;
-            ref->job->needs_update = true;
+        auto& record = ref->task->crashes;
+        std::string verdict = "counted";
+        if (lost.never_sent) {
+            forget_crash(record);
+            verdict = "not counted, the start was not sent";
+        } else if (is_power_lost(lost.when)) {
+            verdict = "excused, nearly all workers were down";
+        } else {
+            count_crash(record, lost.run, lost.suspect, lost.crash);
+            if (lost.suspect || record.trial > duration::zero()) {
+                ref->job->quick_failures[lost.crash.host] = now;
+            }
         }
-        add_decision_event(
-            "early-crash", crash.task, ref->task->run, crash.when.host,
-            power_lost
-                ? "not counted, nearly all workers were down"
-                : "counted, " + std::to_string(ref->task->crashes.early_crashes) + " so far");
-    }
-}
-
-void scheduler::record_run_crash(const task_ref& ref, const crashed_run& run, bool suspect,
-                                 const crash_circumstances& crash, time_point now) {
-    auto& record = ref.task->crashes;
-    record_crash(record, run, suspect, crash);
-    ref.job->dirty = true;
-    if (!suspect && record.trial == duration::zero()) {
-        return;
+        ref->job->dirty = true;
+        ref->job->needs_update = true;
+        add_decision_event("run-crashed", lost.task, ref->task->run, lost.crash.host,
+                           verdict + "; crashes " + std::to_string(record.crashes) + ", early " +
+                               std::to_string(record.early_crashes) + ", excused " +
+                               std::to_string(record.excused_crashes) + ", in trials " +
+                               std::to_string(record.trial_crashes) + ", repeated " +
+                               std::to_string(record.repeated_crashes) + ", next trial " +
+                               to_ms_text(record.trial));
     }
-    ref.job->quick_failures[crash.host] = now;
-    add_decision_event("task-suspected", name_of(ref), ref.task->run, crash.host,
-                       "crashes " + std::to_string(record.crashes) + ", early " +
-                           std::to_string(record.early_crashes) + ", in trials " +
-                           std::to_string(record.trial_crashes) + ", repeated " +
-                           std::to_string(record.repeated_crashes) + ", next trial " +
-                           to_ms_text(record.trial));
 }
 
 // Ends the trial of a run that has lasted long enough.
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -76,7 +76,7 @@
 void scheduler::decide(const workload_config* config, time_point now, wall_time wall_now) {
     expire_silent_workers(now);
     if (config != nullptr) {
-        judge_early_crashes();
+        judge_lost_runs(now);
     }
     update_jobs(wall_now);
     if (config == nullptr || !placement_due(*config, now)) {
@@ -406,6 +406,14 @@
     return closed < std::max<std::size_t>(1, hosts.size() / trial_host_divisor);
 }
 
+// A long-running task serves only while it runs, so it does not wait for its trial.
+void scheduler::skip_trial(waiting_group& waiting) {
+    for (const auto index : waiting.group.tasks) {
+        find({.step = waiting.group.step, .index = index})->task->crashes.trial = {};
+    }
+    waiting.group.on_trial = false;
+}
+
 // Marks the groups of priority 0 whose workspace stays within its guarantee with all its open jobs
 // of priority 0.
 void scheduler::mark_entitled(const workload_config& config,
@@ -452,7 +460,10 @@
 void scheduler::place_group(waiting_group& waiting, placement_pass& pass) {
     auto& group = waiting.group;
     if (group.on_trial && !may_begin_trial(pass)) {
-        return;
+        if (!group.spec->long_running) {
+            return;
+        }
+        skip_trial(waiting);
     }
     const auto usable = pass.forecast.available_for(pass.now, group.spec->estimated);
     if (group.spec->gang) {
@@ -559,6 +570,7 @@
                        .moved = ref->state->moved,
                        .preemption_count = ref->state->preemption_count,
                        .assigned_at = pass.now,
+                       .sent = false,
                        .begun = false,
                        .listed_since = {},
                        .listed_until = {},
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -30,9 +30,6 @@
 constexpr std::size_t min_siblings = 3;
 constexpr double full_percent = 100;
 
-// Progress is not evaluated from older lists.
-constexpr duration max_list_age = std::chrono::milliseconds{1200};
-
 }  // namespace
 
 void scheduler::handle_report(const worker_report& report, time_point now) {
@@ -205,6 +202,7 @@
             changed_hosts_.insert(report.facts.instance.host);
             continue;
         }
+        ref->state->sent = true;
         ref->state->begun = ref->state->begun || run.begun;
         if (run.listed) {
             const auto listed_at = now - report.lists_age;
@@ -434,8 +432,12 @@
             const worker_instance none{.host = host, .worker = {}, .version = {}};
             // A silent guard means that the host is unreachable or down, not its worker alone.
             if (worker.renewal_suspended && now <= worker.last_heard + options_.silence_limit) {
-                handle_worker_crash(worker, none, "it has not responded until its lease expired",
-                                    now, now);
+                handle_worker_crash(worker,
+                                    {.text = "it has not responded until its lease expired",
+                                     .current = none,
+                                     .began = now,
+                                     .starts_known = worker.facts.instance},
+                                    now);
             }
             mark_runs_lost(none, "the worker's lease expired");
         }
@@ -490,7 +492,8 @@
                                      .run = ref->task->run,
                                      .payload = ref->job->spec.payload,
                                      .checkpoint = ref->task->checkpoint,
-                                     .needs = ref->step->per_task});
+                                     .needs = ref->step->per_task,
+                                     .confirm_worker = ref->task->crashes != crash_record{}});
         }
     }
     for (const auto& run : report.runs) {
--- a/src/baobabrack/workload/worker_guard.cpp
+++ b/src/baobabrack/workload/worker_guard.cpp
@@ -32,6 +32,10 @@
 // After this multiple of the maximum age of an announcement, a start is refused instead of delayed,
 // so that the leader can place the task elsewhere.
 constexpr int refusal_age_factor = 2;
+// For this long, reports tell what the worker's previous instance had run.
+constexpr duration replaced_worker_memory = 30s;
+// A worker that responded this recently is running.
+constexpr duration fresh_response_age = 5ms;
 constexpr duration renewal_retry_delay = 200ms;
 constexpr duration stop_retry_delay = 400ms;
 // Increments of the token: past that of an unanswered call, and past one that another caller used.
@@ -112,8 +116,10 @@
     if (!same_instance) {
         const bool first_instance = !facts_;
         if (runs_.lists_seen()) {
-            previous_instance_ = facts_->instance;
-            previous_lists_at_ = last_lists_at_;
+            replaced_ = {.instance = facts_->instance,
+                         .lists_age = loop_.now() - last_lists_at_,
+                         .runs = runs_.sent_runs()};
+            replaced_at_ = loop_.now();
         }
         reset_worker_state();
         last_lists_at_ = loop_.now();
@@ -166,6 +172,7 @@
 void worker_guard::reset_worker_state() {
     runs_.clear();
     announcement_age_.reset();
+    unconfirmed_starts_.clear();
     stops_sent_.clear();
     failed_stops_.clear();
     ends_stored_ = 0;
@@ -192,8 +199,10 @@
         check_announcement_age();
         report.capacity_outdated = capacity_outdated_;
         report.worker_age = announcement_age_.worker_clock(loop_.now());
-        report.previous_instance = previous_instance_;
-        report.previous_lists_age = loop_.now() - previous_lists_at_;
+        if (replaced_ && loop_.now() - replaced_at_ < replaced_worker_memory) {
+            report.replaced = replaced_;
+            report.replaced->lists_age += loop_.now() - replaced_at_;
+        }
         runs_.add_to(report, reports_sent_ + 1);
     }
     wire::PeerMessage out;
@@ -284,6 +293,7 @@
     runs_.invalidate_lists();
     last_applied_renewal_ = renewals_sent_;
     renewal_in_flight_ = false;
+    unconfirmed_starts_.clear();
 }
 
 void worker_guard::handle_start_order(const start_order& run) {
@@ -308,9 +318,33 @@
         refuse_start(key, "no room beside the runs on the worker");
         return;
     }
+    if (run.confirm_worker && loop_.now() - last_response_at_ > fresh_response_age) {
+        confirm_worker_for(run);
+        return;
+    }
     send_start(run, 1);
 }
 
+// Delays a start until the worker responds. A start that gets no answer then tells that the run has
+// crashed the worker, and not that the worker was down before.
+void worker_guard::confirm_worker_for(const start_order& run) {
+    if (!unconfirmed_starts_.insert_or_assign({run.task, run.run}, run).second) {
+        return;
+    }
+    log_event(log_level::info, "start-delayed")
+        .field("job", run.task.step.job.get())
+        .field("task", to_text(run.task))
+        .field("run", run.run.get())
+        .field("reason", "the worker has to respond first");
+    send_renewal(duration::zero());
+}
+
+void worker_guard::send_confirmed_starts() {
+    for (const auto& [key, run] : std::exchange(unconfirmed_starts_, {})) {
+        handle_start_order(run);
+    }
+}
+
 // Sends a start call if the lease can be extended for it.
 bool worker_guard::send_start(const start_order& run, unsigned attempts) {
     const auto lease_until = lease_.extend(loop_.now());
@@ -390,6 +424,7 @@
 
 void worker_guard::handle_stop_order(const stop_order& run) {
     const run_key key{run.task, run.run};
+    unconfirmed_starts_.erase(key);
     if (!runs_.may_have(key)) {
         if (runs_.lists_known() && !runs_.has_ended(key)) {
             refuse_start(key, "it was never started");
@@ -483,28 +518,33 @@
     if (!facts_ || term_ == 0 || renewal_in_flight_) {
         return;
     }
+    const bool recent_loss =
+        last_renewal_loss_ != time_point{} && loop_.now() - last_renewal_loss_ < short_wait_period;
+    const auto usual_wait = recent_loss ? short_renewal_wait : renewal_wait;
+    send_renewal(runs_.lists_known() ? usual_wait : duration::zero());
+}
+
+// Sends a renewal that replaces the one in flight, if any.
+void worker_guard::send_renewal(duration wait) {
     const auto number = ++renewals_sent_;
     renewal_in_flight_ = true;
     current_renewal_ = number;
     renewal_sent_at_ = loop_.now();
     suspend_lease_if_silent();
-    const bool recent_loss =
-        last_renewal_loss_ != time_point{} && loop_.now() - last_renewal_loss_ < short_wait_period;
-    const auto usual_wait = recent_loss ? short_renewal_wait : renewal_wait;
-    const auto wait = runs_.lists_known() ? usual_wait : duration::zero();
     worker_.renew({.worker = facts_->instance,
                    .token = token_,
                    .acknowledged_ends = ends_stored_,
                    .lease_until = lease_.extend(loop_.now()),
                    .wait = wait,
                    .timeout = wait + call_timeout},
-                  [this, number, instance = facts_->instance](const renew_reply& renewal) {
-                      handle_renew_reply(number, instance, renewal);
+                  [this, number, sent_at = renewal_sent_at_,
+                   instance = facts_->instance](const renew_reply& renewal) {
+                      handle_renew_reply(number, sent_at, instance, renewal);
                   });
 }
 
-void worker_guard::handle_renew_reply(std::uint64_t number, const worker_instance& instance,
-                                      const renew_reply& renewal) {
+void worker_guard::handle_renew_reply(std::uint64_t number, time_point sent_at,
+                                      const worker_instance& instance, const renew_reply& renewal) {
     if (!facts_ || facts_->instance != instance || number <= last_applied_renewal_) {
         return;
     }
@@ -517,7 +557,9 @@
     switch (renewal.reply.outcome) {
         case call_outcome::accepted:
             last_applied_renewal_ = number;
-            apply_run_lists(number, renewal);
+            last_response_at_ = loop_.now();
+            apply_run_lists(number, sent_at, renewal);
+            send_confirmed_starts();
             schedule_renewal();
             return;
         case call_outcome::fenced:
@@ -531,6 +573,8 @@
         default:
             break;
     }
+    // The next orders contain these starts again.
+    unconfirmed_starts_.clear();
     if (!renewal_timer_.armed()) {
         const auto elapsed = loop_.now() - renewal_sent_at_;
         renewal_timer_.arm(std::max(duration::zero(), renewal_retry_delay - elapsed),
@@ -538,8 +582,9 @@
     }
 }
 
-void worker_guard::apply_run_lists(std::uint64_t number, const renew_reply& renewal) {
-    last_lists_at_ = std::max(last_lists_at_, renewal_sent_at_);
+void worker_guard::apply_run_lists(std::uint64_t number, time_point sent_at,
+                                   const renew_reply& renewal) {
+    last_lists_at_ = std::max(last_lists_at_, sent_at);
     if (lease_.suspended()) {
         log_event(log_level::info, "worker-regained")
             .field("worker", facts_->instance.worker.get());
--- a/src/baobabrack/workload/worker_guard.hpp
+++ b/src/baobabrack/workload/worker_guard.hpp
@@ -68,6 +68,8 @@
     void handle_orders(const wire::WorkloadOrders& message);
     void follow_leader(const wire::WorkloadOrders& message);
     void handle_start_order(const start_order& run);
+    void confirm_worker_for(const start_order& run);
+    void send_confirmed_starts();
     bool send_start(const start_order& run, unsigned attempts);
     void retry_start(const guarded_runs::lost_start& lost, const std::string& reason);
     void handle_start_reply(const run_key& key, const worker_instance& instance,
@@ -78,9 +80,10 @@
     void refuse_start(const run_key& key, const std::string& reason);
     void schedule_renewal();
     void renew_lease();
-    void handle_renew_reply(std::uint64_t number, const worker_instance& instance,
-                            const renew_reply& renewal);
-    void apply_run_lists(std::uint64_t number, const renew_reply& renewal);
+    void send_renewal(duration wait);
+    void handle_renew_reply(std::uint64_t number, time_point sent_at,
+                            const worker_instance& instance, const renew_reply& renewal);
+    void apply_run_lists(std::uint64_t number, time_point sent_at, const renew_reply& renewal);
     void increase_token(std::uint64_t by);
     void update_clock(const call_reply& reply);
     void suspend_lease_if_silent();
@@ -104,8 +107,10 @@
     std::uint64_t last_orders_sequence_ = 0;
     time_point last_orders_at_{};
     time_point last_lists_at_{};
-    std::optional<worker_instance> previous_instance_;
-    time_point previous_lists_at_{};
+    time_point last_response_at_{};
+    // The previous instance of the worker, its age counted from `replaced_at_`.
+    std::optional<replaced_worker> replaced_;
+    time_point replaced_at_{};
     time_point renewal_sent_at_{};
     time_point last_renewal_loss_{};
     fencing_token token_;
@@ -113,6 +118,8 @@
 
     guarded_runs runs_;
     std::map<run_key, time_point> stops_sent_;
+    // Starts that are sent once the worker responds.
+    std::map<run_key, start_order> unconfirmed_starts_;
     // Stops that got no answer or were fenced; they are sent again once the worker answers.
     std::set<run_key> failed_stops_;
     std::uint64_t renewals_sent_ = 0;
--- a/src/baobabrack/workload/worker_table.hpp
+++ b/src/baobabrack/workload/worker_table.hpp
@@ -99,6 +99,11 @@
     time_point slow_since_{};
 };
 
+/// The latest lists of a worker that responds are not older than this. They count from when the
+/// renewal that returned them was sent: it has waited for half a second for an end, and the next
+/// one may have waited for as long.
+constexpr duration max_list_age = std::chrono::milliseconds{1200};
+
 /// Index of a worker that is not a candidate.
 constexpr auto no_candidate_index = static_cast<std::size_t>(-1);
 
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -636,6 +636,57 @@
 }
 
 // The guard was down until the lease had expired, and then reports an end from before.
+TEST_CASE("A start that was not sent before its worker crashed does not count",
+          "[scheduler][crashes]") {
+    scheduler_fixture fixture;
+    fixture.add_worker("h1");
+    fixture.submit(job_of("j", 1, 1));
+    const bool sent = GENERATE(false, true);
+    unsigned starts = 0;
+    for (std::uint64_t crash = 1; crash <= 8 && fixture.subject.open_jobs() > 0; ++crash) {
+        auto& report = fixture.reports["h1"];
+        fixture.subject.handle_report(report, fixture.now);
+        fixture.subject.decide(&fixture.config, fixture.now, fixture.wall_now);
+        fixture.subject.mark_stored(fixture.subject.drain_batch(true));
+        const auto orders = fixture.subject.orders_for(report);
+        starts += static_cast<unsigned>(orders.starts.size());
+        report.replaced =
+            replaced_worker{.instance = report.facts.instance, .lists_age = 100ms, .runs = {}};
+        for (const auto& start : orders.starts) {
+            if (sent) {
+                report.replaced->runs.push_back({.task = start.task, .run = start.run});
+            }
+        }
+        report.facts.instance.version = incarnation{crash + 1};
+        fixture.now += 10s;
+        fixture.wall_now += 10s;
+    }
+    CHECK((fixture.subject.open_jobs() == 0) == sent);
+    CHECK(starts >= (sent ? 3U : 7U));
+}
+
+TEST_CASE("Starts of tasks that were lost in crashes are sent only to workers that respond",
+          "[scheduler][crashes]") {
+    scheduler_fixture fixture;
+    fixture.add_worker("h1");
+    fixture.submit(job_of("j", 1, 1));
+    const auto start = [&] {
+        auto& report = fixture.reports["h1"];
+        fixture.subject.handle_report(report, fixture.now);
+        fixture.subject.decide(&fixture.config, fixture.now, fixture.wall_now);
+        fixture.subject.mark_stored(fixture.subject.drain_batch(true));
+        const auto orders = fixture.subject.orders_for(report);
+        REQUIRE(orders.starts.size() == 1);
+        return orders.starts.front();
+    };
+    CHECK_FALSE(start().confirm_worker);
+    fixture.run_pass();
+    fixture.now += 5s;
+    fixture.crash("h1");
+    fixture.now += 10s;
+    CHECK(start().confirm_worker);
+}
+
 TEST_CASE("The end of a run that was taken for lost counts while its task waits", "[scheduler]") {
     scheduler_fixture fixture;
     fixture.add_worker("h1");
--- a/tests/workload/worker_guard.tests.cpp
+++ b/tests/workload/worker_guard.tests.cpp
@@ -409,3 +409,87 @@
     fixture.announce(1, 1100, 3);
     CHECK(fixture.newest_report.worker().accelerators() == 3);
 }
+
+TEST_CASE("A start of a suspected task is sent only to a worker that has just responded",
+          "[guard][crashes]") {
+    guard_fixture fixture;
+    fixture.announce(1, 1000);
+    fixture.order({}, 1);
+    fixture.answer_renewal({}, 1010);
+    fixture.loop.run_for(100ms);
+    auto run = wanted();
+    run.confirm_worker = true;
+    const auto renewals = fixture.worker.renewals.size();
+    fixture.order(start_of(run), 1);
+    CHECK(fixture.worker.starts.empty());
+    REQUIRE(fixture.worker.renewals.size() == renewals + 1);
+    CHECK(fixture.worker.renewals.back().call.wait == duration::zero());
+    SECTION("it is sent once the worker responds") {
+        fixture.order(start_of(run), 1);
+        CHECK(fixture.worker.renewals.size() == renewals + 1);
+        fixture.answer_renewal({}, 1120);
+        CHECK(fixture.worker.starts.size() == 1);
+    }
+    SECTION("it is not sent if the worker does not respond") {
+        fixture.worker.renewals.back().answer({.reply = {.outcome = call_outcome::unanswered}});
+        fixture.loop.run_for(300ms);
+        fixture.answer_renewal({}, 1420);
+        CHECK(fixture.worker.starts.empty());
+        CHECK(fixture.newest_report.refusals().empty());
+        fixture.order(start_of(run), 1);
+        fixture.answer_renewal({}, 1430);
+        CHECK(fixture.worker.starts.size() == 1);
+    }
+    SECTION("it is not sent after it was cancelled") {
+        fixture.order({.worker = {},
+                       .ends_stored = 0,
+                       .starts = {},
+                       .stops = {{.task = task, .run = run_number{1}}}},
+                      1);
+        fixture.answer_renewal({}, 1120);
+        CHECK(fixture.worker.starts.empty());
+        CHECK(fixture.newest_report.refusals_size() == 1);
+    }
+}
+
+TEST_CASE("Reports tell which starts the previous instance of the worker got", "[guard][crashes]") {
+    guard_fixture fixture;
+    fixture.announce(1, 1000);
+    fixture.order({}, 1);
+    const task_name listed{.step = {.job = job_id{"listed"}}};
+    fixture.answer_renewal({.runs = {{.task = listed, .run = run_number{3}}}, .ends = {}}, 1010);
+    fixture.order(start_of(wanted()), 1);
+    REQUIRE(fixture.worker.starts.size() == 1);
+    const bool accepted = GENERATE(false, true);
+    if (accepted) {
+        fixture.worker.starts[0].answer(
+            {.outcome = call_outcome::accepted, .clock = worker_time{1020}});
+    }
+    fixture.announce(2, 10);
+    const auto previous = fixture.newest_report.previous_runs();
+    REQUIRE(previous.size() == 2);
+    CHECK(fixture.newest_report.previous_worker().incarnation() == 1);
+    CHECK(previous[0].task().job() == "listed");
+    CHECK(previous[0].begun());
+    CHECK(previous[1].task().job() == "j");
+    CHECK(previous[1].begun() == accepted);
+    fixture.loop.run_for(40s);
+    CHECK_FALSE(fixture.newest_report.has_previous_worker());
+}
+
+// A renewal may be answered after another one has been sent.
+TEST_CASE("Lists are as old as the renewal that returned them", "[guard]") {
+    guard_fixture fixture;
+    fixture.announce(1, 1000);
+    fixture.order({}, 1);
+    fixture.answer_renewal({}, 1010);
+    const auto first = fixture.worker.renewals.back();
+    fixture.loop.run_for(400ms);
+    auto run = wanted();
+    run.confirm_worker = true;
+    fixture.order(start_of(run), 1);
+    REQUIRE(fixture.worker.renewals.size() > 1);
+    first.answer({.reply = {.outcome = call_outcome::accepted, .clock = worker_time{1410}}});
+    fixture.loop.run_for(100ms);
+    CHECK(fixture.newest_report.lists_age_ms() >= 400);
+}
