Do not let a guarantee wait for runs past their expected end

Cause: before it preempts, the scheduler looks for room that becomes free within the 300 ms that a stop takes. The class of fault is that of the shrunk capacity: a forecast is taken for a fact.

Change: once half of the reclaim time has passed, a guaranteed job relies only on what is free and on runs that are being stopped.

Evidence: scheduler, "A guaranteed job does not wait for a run that is past its expected end", failed before (started only once the run was stopped as stalled), passes now.

--- a/src/baobabrack/workload/capacity_forecast.cpp
+++ b/src/baobabrack/workload/capacity_forecast.cpp
@@ -37,21 +37,41 @@
 }
 
 candidates capacity_forecast::unreserved_at(time_point time) const {
-    auto hosts = available_;
-    for (auto& host : hosts) {
-        host.closed = false;
-    }
+    auto hosts = open_hosts();
     for (const auto& expected : releases_) {
         if (expected.time > time) {
             break;
         }
         release(hosts[expected.host_index], expected.amount);
     }
+    subtract_reservations(hosts);
+    return hosts;
+}
+
+candidates capacity_forecast::unreserved_after_stops() const {
+    auto hosts = open_hosts();
+    for (const auto& expected : releases_) {
+        if (expected.stopping) {
+            release(hosts[expected.host_index], expected.amount);
+        }
+    }
+    subtract_reservations(hosts);
+    return hosts;
+}
+
+candidates capacity_forecast::open_hosts() const {
+    auto hosts = available_;
+    for (auto& host : hosts) {
+        host.closed = false;
+    }
+    return hosts;
+}
+
+void capacity_forecast::subtract_reservations(candidates& hosts) const {
     for (std::size_t index = 0; index < hosts.size(); ++index) {
         hosts[index].available =
             remaining_resources(hosts[index].available, reservations_[index].amount);
     }
-    return hosts;
 }
 
 void capacity_forecast::allocate(const task_group& group, const placed_tasks& places) {
--- a/src/baobabrack/workload/capacity_forecast.hpp
+++ b/src/baobabrack/workload/capacity_forecast.hpp
@@ -16,6 +16,8 @@
     /// Index of the host in the candidates.
     std::size_t host_index = 0;
     resources amount;
+    /// The run is being stopped, so it does not end later than expected.
+    bool stopping = false;
 };
 
 /// Places that are free for a group at a later time.
@@ -51,6 +53,9 @@
     ///         happened; hosts that are closed now are open by then
     candidates unreserved_at(time_point time) const;
 
+    /// @return the same once the runs that are being stopped have ended, and no others
+    candidates unreserved_after_stops() const;
+
     /// Subtracts the resources of runs that start now.
     void allocate(const task_group& group, const placed_tasks& places);
 
@@ -64,6 +69,9 @@
     void add_release(const expected_release& release);
 
 private:
+    candidates open_hosts() const;
+    void subtract_reservations(candidates& hosts) const;
+
     /// Capacity of a host that is reserved from a time on.
     struct reservation {
         time_point start = time_point::max();
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -410,6 +410,7 @@
     void skip_trial(waiting_group& waiting);
     void place_group(waiting_group& waiting, placement_pass& pass);
     bool can_wait_until(const waiting_group& waiting, time_point begin, time_point now) const;
+    bool is_guarantee_due(const waiting_group& waiting, time_point now) const;
     bool place_or_reserve(waiting_group& waiting, placement_pass& pass);
     capacity_forecast forecast_capacity(const service_id& service, time_point now);
     time_point expected_end(const task_ref& ref, time_point now) const;
--- a/src/baobabrack/workload/scheduler_capacity.cpp
+++ b/src/baobabrack/workload/scheduler_capacity.cpp
@@ -56,7 +56,8 @@
             if (worker != nullptr && worker->candidate_index != no_candidate_index) {
                 releases.push_back({.time = expected_end(ref, now),
                                     .host_index = worker->candidate_index,
-                                    .amount = ref.step->per_task});
+                                    .amount = ref.step->per_task,
+                                    .stopping = ref.state->stopping});
             }
         });
     }
@@ -70,7 +71,9 @@
                             const placement_constraints& limits) {
     const auto& group = waiting.group;
     const auto freed_at = pass.now + stop_delay;
-    const auto free = pass.forecast.unreserved_at(freed_at);
+    // A run past its expected end always seems to be about to end, so a guarantee relies on none.
+    const auto free = is_guarantee_due(waiting, pass.now) ? pass.forecast.unreserved_after_stops()
+                                                          : pass.forecast.unreserved_at(freed_at);
     if (auto found = place(group, free, limits)) {
         pass.forecast.reserve(group, {.time = freed_at, .places = std::move(*found)});
         return true;
@@ -87,7 +90,8 @@
     for (const auto index : plan->victims) {
         stop_victim(left[index]);
         for (const auto& [host, amount] : left[index].allocations) {
-            pass.forecast.add_release({.time = freed_at, .host_index = host, .amount = amount});
+            pass.forecast.add_release(
+                {.time = freed_at, .host_index = host, .amount = amount, .stopping = true});
         }
     }
     // Erases from the back, so that the remaining indices stay valid.
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -489,6 +489,11 @@
     }
 }
 
+// Returns whether a guaranteed group has to start as soon as possible to be in time.
+bool scheduler::is_guarantee_due(const waiting_group& waiting, time_point now) const {
+    return waiting.entitled && now - waiting.job->added_at > options_.reclaim_timeout / 2;
+}
+
 // Returns whether a group that starts at `begin` meets its objective and the guarantee of its
 // workspace. If so, preemption for it would only waste work.
 bool scheduler::can_wait_until(const waiting_group& waiting, time_point begin,
@@ -508,8 +513,7 @@
     const auto now = pass.now;
     const auto usable = forecast.available_for(now, group.spec->estimated);
     const bool urgent = waiting.job->spec.priority == 0;
-    const bool guarantee_due =
-        waiting.entitled && now - waiting.job->added_at > options_.reclaim_timeout / 2;
+    const bool guarantee_due = is_guarantee_due(waiting, now);
     const auto slow_placement = place(group, usable, {});
     if (slow_placement && guarantee_due) {
         assign(waiting, *slow_placement, pass);
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -246,6 +246,34 @@
     CHECK(fixture.run_count("h1", "high") == 1);
 }
 
+// The run could end at any moment, so each pass expected that it was about to.
+TEST_CASE("A guaranteed job does not wait for a run that is past its expected end", "[scheduler]") {
+    scheduler_fixture fixture;
+    fixture.add_worker("h1");
+    auto low = job_of("low", 1, 8);
+    low.steps.front().estimated = 5s;
+    fixture.submit(low);
+    std::uint32_t passes = 0;
+    const auto run_pass = [&] {
+        fixture.run_pass();
+        ++passes;
+        for (auto& run : fixture.reports["h1"].runs) {
+            run.percent = std::min(99U, 2 * passes);
+        }
+    };
+    while (passes < 40) {
+        run_pass();
+    }
+    fixture.submit(urgent_job("high", 1, 8));
+    const auto deadline = fixture.now + scheduler::options{}.reclaim_timeout;
+    while (fixture.run_count("h1", "high") == 0 && fixture.now < deadline) {
+        run_pass();
+    }
+    CHECK(fixture.run_count("h1", "high") == 1);
+    // The worker needs some time to stop and to start a run.
+    CHECK(fixture.now < deadline - 700ms);
+}
+
 // An urgent job has several tasks, each of which needs a whole host.
 TEST_CASE("Capacity is freed for each task of an urgent step in the same pass", "[scheduler]") {
     scheduler_fixture fixture;
