Tell the age of a worker by when it began, not by its clock

Cause: a new leader tells a crash from a loss of all power by how long the other workers have run. Whether a crash was excused was chance. The log: "excused, nearly all workers were down" under a leader that had seen all eleven workers for 1.6 s. The class of fault: a value that the platform leaves open was taken for a fact, and the fake worker had the same assumption.

Change: an announcement says when the instance began, by the wall clock of the host that it shares with its guard; the guard reports the time since then, or since it saw the instance for the first time if that is longer, as the wall clock may be set back. The clocks of the fake workers now start anywhere.

Evidence: with the fakes changed and the code of before, "Sound jobs are not given up when all workers crash together again and again" fails; worker_guard, "The reported age of a worker does not depend on what its clock shows", fails by 9,000 s. Both pass now.

--- a/scenarios/fakes/fake_guarded_worker.cpp
+++ b/scenarios/fakes/fake_guarded_worker.cpp
@@ -1,6 +1,7 @@
 #include "fakes/fake_guarded_worker.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace baobabrack::fakes {
 
@@ -16,6 +17,9 @@
 constexpr std::uint64_t max_late_ms = 6000;
 constexpr std::uint32_t full_percent = 100;
 constexpr double chance_scale = 1e6;
+// The clocks of two instances start far apart.
+constexpr std::uint64_t max_clock_start_ms = 10'000'000;
+constexpr std::uint64_t clock_start_step = 3'333'331;
 
 }  // namespace
 
@@ -30,8 +34,16 @@
 workload::worker_time fake_guarded_worker::clock() const {
     const auto age =
         std::chrono::duration_cast<std::chrono::milliseconds>(loop_.now() - instance_started_at_);
-    // Runs 2 % slow, since a worker's clock may drift from the guard's.
-    return workload::worker_time{age.count() * 49 / 50};
+    // Starts anywhere, and runs 2 % slow, since a worker's clock may drift from the guard's.
+    const auto& host = options_.host.get();
+    const auto host_number = std::accumulate(host.begin(), host.end(), std::uint64_t{0});
+    const auto start = (host_number + version_) * clock_start_step % max_clock_start_ms;
+    return workload::worker_time{static_cast<std::int64_t>(start) + age.count() * 49 / 50};
+}
+
+wall_time fake_guarded_worker::began() const {
+    return loop_.wall_now() - std::chrono::duration_cast<std::chrono::milliseconds>(
+                                  loop_.now() - instance_started_at_);
 }
 
 workload::worker_facts fake_guarded_worker::facts() const {
--- a/scenarios/fakes/fake_guarded_worker.hpp
+++ b/scenarios/fakes/fake_guarded_worker.hpp
@@ -87,6 +87,7 @@
 
     workload::worker_facts facts() const;
     workload::worker_time clock() const;
+    wall_time began() const;
     std::size_t running() const { return runs_.size(); }
 
     workload::renew_reply renew(const workload::worker_port::renew_call& call);
--- a/src/baobabrack/workload/announcement_age.cpp
+++ b/src/baobabrack/workload/announcement_age.cpp
@@ -43,6 +43,7 @@
     return std::max(since_arrival, worker_clock(now) - since_epoch(*announced_));
 }
 
+// Returns an estimate of what the worker's clock shows; zero before the first reading.
 duration announcement_age::worker_clock(time_point now) const {
     return offset_ ? now.time_since_epoch() + *offset_ : duration::zero();
 }
--- a/src/baobabrack/workload/announcement_age.hpp
+++ b/src/baobabrack/workload/announcement_age.hpp
@@ -29,10 +29,9 @@
     ///         of the type if there was none
     duration value(time_point now) const;
 
-    /// @return an estimate of what the worker's clock shows now; zero before the first reading
+private:
     duration worker_clock(time_point now) const;
 
-private:
     /// How far the worker's clock is ahead of the host's; nothing before the first reading.
     std::optional<duration> offset_;
     time_point offset_at_{};
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -102,7 +102,7 @@
     duration lists_age{};
     /// The worker has not announced its capacity for too long, so the guard starts nothing.
     bool capacity_outdated = false;
-    /// How long this instance of the worker has run, by its own clock.
+    /// How long this instance of the worker has run.
     duration worker_age{};
     std::vector<reported_run> runs;
     std::vector<ended_run> ends;
--- a/src/baobabrack/workload/worker_guard.cpp
+++ b/src/baobabrack/workload/worker_guard.cpp
@@ -122,6 +122,8 @@
             replaced_at_ = loop_.now();
         }
         reset_worker_state();
+        instance_seen_at_ = loop_.now();
+        instance_began_ = announcement.began;
         last_lists_at_ = loop_.now();
         // If the worker was already running when this guard started, an earlier guard may have
         // extended its lease.
@@ -198,7 +200,7 @@
         report.lists_age = loop_.now() - last_lists_at_;
         check_announcement_age();
         report.capacity_outdated = capacity_outdated_;
-        report.worker_age = announcement_age_.worker_clock(loop_.now());
+        report.worker_age = worker_age();
         if (replaced_ && loop_.now() - replaced_at_ < replaced_worker_memory) {
             report.replaced = replaced_;
             report.replaced->lists_age += loop_.now() - replaced_at_;
@@ -498,6 +500,16 @@
     }
 }
 
+// Returns how long the worker's instance has run. A guard that was restarted has seen only a part
+// of that time, and the wall clock may have been set back, so the larger value counts.
+duration worker_guard::worker_age() const {
+    const duration seen = loop_.now() - instance_seen_at_;
+    if (!instance_began_) {
+        return seen;
+    }
+    return std::max(seen, duration{loop_.wall_now() - *instance_began_});
+}
+
 void worker_guard::check_announcement_age() {
     const auto age = announcement_age_.value(loop_.now());
     const bool outdated = age > options_.max_announcement_age;
--- a/src/baobabrack/workload/worker_guard.hpp
+++ b/src/baobabrack/workload/worker_guard.hpp
@@ -23,6 +23,8 @@
     /// Increases with each announcement of one worker instance.
     std::uint64_t sequence = 0;
     std::optional<worker_time> clock;
+    /// When the instance began, by the wall clock of its host.
+    std::optional<wall_time> began;
 };
 
 /// The process that runs next to a worker. It is the worker's only caller, so that every order is
@@ -87,6 +89,7 @@
     void increase_token(std::uint64_t by);
     void update_clock(const call_reply& reply);
     void suspend_lease_if_silent();
+    duration worker_age() const;
     void check_announcement_age();
     void reset_worker_state();
 
@@ -97,6 +100,9 @@
     metrics_registry& metrics_;
 
     std::optional<worker_facts> facts_;
+    // When the first announcement of the instance arrived, and when it says that it began.
+    time_point instance_seen_at_{};
+    std::optional<wall_time> instance_began_;
     std::uint64_t announcement_sequence_ = 0;
     announcement_age announcement_age_;
     bool capacity_outdated_ = false;
--- a/src/baobabrack/workload/worker_table.hpp
+++ b/src/baobabrack/workload/worker_table.hpp
@@ -114,7 +114,7 @@
     time_point last_heard{};
     /// When the first report of this worker instance arrived.
     time_point first_heard{};
-    /// When the worker instance began, by its own clock.
+    /// When the worker instance began.
     time_point began{};
     /// When the worker returned its latest run lists; zero if this leader has seen none.
     time_point lists_at{};
--- a/tests/workload/simulated_cluster.cpp
+++ b/tests/workload/simulated_cluster.cpp
@@ -151,7 +151,8 @@
     if (process.guard != nullptr && !silent && !process.drops_announcements) {
         process.guard->announce({.facts = process.worker->facts(),
                                  .sequence = ++process.announcements,
-                                 .clock = process.worker->clock()});
+                                 .clock = process.worker->clock(),
+                                 .began = process.worker->began()});
     }
     loop.schedule(announce_interval, [this, index] { announce(index); });
 }
--- a/tests/workload/worker_guard.tests.cpp
+++ b/tests/workload/worker_guard.tests.cpp
@@ -64,6 +64,7 @@
     scripted_worker worker;
     metrics_registry metrics;
     wire::WorkloadReport newest_report;
+    std::optional<wall_time> instance_began;
 
 private:
     fakes::fake_network network_;
@@ -83,6 +84,7 @@
                                        .accelerators = accelerator_count{accelerators}};
         announcement.sequence = ++sequence_;
         announcement.clock = worker_time{clock};
+        announcement.began = instance_began;
         guard.announce(announcement);
         loop.run_for(5ms);
     }
@@ -493,3 +495,27 @@
     fixture.loop.run_for(100ms);
     CHECK(fixture.newest_report.lists_age_ms() >= 400);
 }
+
+// The clock of a worker starts anywhere, so a new leader took a crash for a loss of all power.
+TEST_CASE("The reported age of a worker does not depend on what its clock shows",
+          "[guard][crashes]") {
+    guard_fixture fixture;
+    const auto clock = GENERATE(1000, 9'000'000);
+    fixture.announce(1, clock);
+    fixture.loop.run_for(2s);
+    CHECK(fixture.newest_report.worker_age_ms() <= 2100);
+    CHECK(fixture.newest_report.worker_age_ms() >= 1400);
+    SECTION("a guard that was started later knows when the worker began") {
+        fixture.instance_began = fixture.loop.wall_now() - 40s;
+        fixture.announce(2, clock);
+        CHECK(fixture.newest_report.worker_age_ms() >= 40'000);
+        CHECK(fixture.newest_report.worker_age_ms() <= 40'100);
+    }
+    SECTION("the wall clock was set back") {
+        fixture.instance_began = fixture.loop.wall_now() + 40s;
+        fixture.announce(2, clock);
+        fixture.loop.run_for(2s);
+        CHECK(fixture.newest_report.worker_age_ms() <= 2100);
+        CHECK(fixture.newest_report.worker_age_ms() >= 1400);
+    }
+}
