Count an end that two leaders receive only once

A leader stored the failed end and died before the guard had the acknowledgement; the next one got the end again, took the run for a lost one and counted a second failure. The log: "failed, taken for lost before" under term 331 for a run that had ended as failed under term 310.

Change: the place is kept only while the end of the run is not known; an end or a refusal clears it.

Evidence: scheduler, "An end that two leaders receive is counted once", failed before (two failures, the job closed), passes now, and for a lost run the one end still counts.

--- a/src/baobabrack/workload/scheduler.cpp
+++ b/src/baobabrack/workload/scheduler.cpp
@@ -79,7 +79,7 @@
                  .run = {.on_trial = trials_.contains(name), .begun = false, .observed = false},
                  .crash = {.host = place.host, .scope = crash_scope::several},
                  .when = {.host = place.host, .next_began = assigned_worker->began}});
-            requeue_task(name, ref, "");
+            requeue_lost_task(name, ref);
         }
     });
 }
@@ -177,6 +177,7 @@
                              const std::string& checkpoint) {
     release_run(name, ref);
     ref.task->phase = task_phase::waiting;
+    ref.task->place = {};
     if (!checkpoint.empty() && ref.step->checkpoints) {
         ref.task->checkpoint = checkpoint;
     }
@@ -184,6 +185,13 @@
     ref.job->dirty = true;
 }
 
+// Does the same for a run whose end is not known. Its place is kept, as its end may still arrive.
+void scheduler::requeue_lost_task(const task_name& name, const task_ref& ref) {
+    const auto place = ref.task->place;
+    requeue_task(name, ref, "");
+    ref.task->place = place;
+}
+
 void scheduler::stop_run(const task_name& name, const task_ref& ref, const std::string& why) {
     if (ref.task->phase != task_phase::assigned || ref.state->stopping) {
         return;
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -376,6 +376,7 @@
     std::set<host_id> trial_hosts();
     duration confirmed_run_time(const task_ref& ref) const;
     void requeue_task(const task_name& name, const task_ref& ref, const std::string& checkpoint);
+    void requeue_lost_task(const task_name& name, const task_ref& ref);
     void stop_run(const task_name& name, const task_ref& ref, const std::string& why);
     void check_progress(const task_name& name, const reported_run& run, const task_ref& ref,
                         time_point now);
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -149,6 +149,7 @@
     if (!end.checkpoint.empty() && ref.step->checkpoints) {
         ref.task->checkpoint = end.checkpoint;
     }
+    ref.task->place = {};
     ref.job->dirty = true;
     ref.job->needs_update = true;
     capacity_changed_ = true;
@@ -418,7 +419,7 @@
         ++counts_.lost;
         add_decision_event("run-lost", name, ref.task->run, place.host,
                            why + "; the run was listed for " + to_ms_text(confirmed_run_time(ref)));
-        requeue_task(name, ref, "");
+        requeue_lost_task(name, ref);
     }
 }
 
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -739,6 +739,43 @@
 }
 
 // The capacity of a worker shrinks below what its runs use.
+// The job was shown as failed although its task had failed only once.
+TEST_CASE("An end that two leaders receive is counted once", "[scheduler]") {
+    scheduler_fixture first;
+    first.add_worker("h1");
+    auto job = job_of("j", 1, 1);
+    job.most_attempts = 2;
+    first.submit(job);
+    first.run_pass();
+    REQUIRE(first.run_count("h1") == 1);
+    const bool lost = GENERATE(false, true);
+    const auto run = first.reports["h1"].runs.front();
+    if (lost) {
+        first.reports["h1"].runs.clear();
+        first.now += 20s;
+    } else {
+        first.end_all("h1", run_outcome::failed);
+        first.subject.handle_report(first.reports["h1"], first.now);
+    }
+    first.subject.decide(nullptr, first.now, first.wall_now);
+    const auto batch = first.subject.drain_batch(true);
+    REQUIRE(batch.changes.size() == 1);
+    const auto stored = from_wire(job, to_wire(batch.changes.front().progress));
+
+    scheduler_fixture second;
+    second.reports = first.reports;
+    if (lost) {
+        second.end_run("h1", run.task, run.run, run_outcome::failed);
+    }
+    second.subject.add_job({.spec = job, .progress = stored, .cancelled = false}, second.now);
+    second.subject.handle_report(second.reports["h1"], second.now);
+    second.subject.decide(nullptr, second.now, second.wall_now);
+    CHECK(second.subject.open_jobs() == 1);
+    const auto changes = second.subject.drain_batch(true).changes;
+    const auto& progress = changes.empty() ? stored : changes.front().progress;
+    CHECK(progress.occurrences[0].steps[0][0].failures == 1);
+}
+
 TEST_CASE("Preemption on a worker that is over its capacity frees enough at once",
           "[scheduler][capacity]") {
     scheduler_fixture fixture;
