Limit how long a job waits for a trial

Cause: trials closed at most a quarter of the workers, two of eleven here, each for 1.5 s or until its worker was back; the suspects of one job were tried one after another. Nothing bounded the wait.

Change: a trial that would have to wait for more than 2 s is left out, the suspects of one job are on trial together on one worker, since the job is given up whichever of them is the cause, and trials may close half of the workers.

New tests: "Jobs that need a trial start within three seconds" and "Suspected tasks of one job are on trial together on one worker".

--- a/src/baobabrack/workload/crash_record.cpp
+++ b/src/baobabrack/workload/crash_record.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "baobabrack/workload/worker_table.hpp"
-
 namespace baobabrack::workload {
 
 namespace {
@@ -21,8 +19,8 @@
 constexpr std::uint32_t max_crashes = 5;
 constexpr std::uint32_t min_counted_crashes = 3;
 // Accuracy of the run time at a crash: the worker has listed the run only until its latest lists,
-// and their age is known to some hundred milliseconds.
-constexpr duration run_time_tolerance = max_list_age + std::chrono::milliseconds{300};
+// which are rarely older.
+constexpr duration run_time_tolerance = std::chrono::seconds{1};
 // Suspicions against a long-running task do not add up over its life.
 constexpr duration record_lifetime = std::chrono::seconds{30};
 // Other runs get a trial only when it happens again, as long after the start if they had settled:
--- a/src/baobabrack/workload/job_progress.hpp
+++ b/src/baobabrack/workload/job_progress.hpp
@@ -34,8 +34,8 @@
 struct task_progress {
     task_phase phase = task_phase::waiting;
     run_number run;
-    /// The worker instance of the latest run. While the task waits: if that run was lost and its end
-    /// has not arrived, else none.
+    /// The worker instance of the latest run. While the task waits: if that run was lost and its
+    /// end has not arrived, else none.
     worker_instance place;
     /// Number of runs that ended as failed.
     std::uint32_t failures = 0;
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -267,6 +267,8 @@
         /// not.
         time_point listed_since{};
         time_point listed_until{};
+        /// Since when the trial of the task has been delayed; zero if it has not.
+        time_point trial_delayed_since{};
         progress_rate measured_rate;
     };
     struct open_job {
@@ -371,6 +373,7 @@
     bool is_power_lost(const outage& crash) const;
     void note_lost_run(const task_ref& ref, lost_run lost);
     void judge_lost_runs(time_point now);
+    std::string judge_lost_run(const task_ref& ref, const lost_run& lost, time_point now);
     void update_trial(const task_name& name, const task_ref& ref);
     bool has_trial(const job_id& job) const;
     std::set<host_id> trial_hosts();
@@ -408,7 +411,8 @@
     void place_groups(std::vector<waiting_group>& groups, time_point now);
     void separate_trials(std::vector<waiting_group>& groups) const;
     bool may_begin_trial(const placement_pass& pass);
-    void skip_trial(waiting_group& waiting);
+    bool delay_trial(waiting_group& waiting, const placement_pass& pass);
+    static placed_tasks place_on_trial(const task_group& group, const candidates& usable);
     void place_group(waiting_group& waiting, placement_pass& pass);
     bool can_wait_until(const waiting_group& waiting, time_point begin, time_point now) const;
     bool is_guarantee_due(const waiting_group& waiting, time_point now) const;
@@ -440,6 +444,7 @@
     std::set<task_name> trials_;
     // Not judged before the other workers have been heard of.
     std::vector<lost_run> lost_runs_;
+
     // When a worker last crashed without a run that may have caused it.
     time_point last_unexplained_crash_{};
     std::set<host_id> changed_hosts_;
--- a/src/baobabrack/workload/scheduler_crashes.cpp
+++ b/src/baobabrack/workload/scheduler_crashes.cpp
@@ -226,19 +226,8 @@
         if (!ref) {
             continue;
         }
-        auto& record = ref->task->crashes;
-        std::string verdict = "counted";
-        if (lost.never_sent) {
-            forget_crash(record);
-            verdict = "not counted, the start was not sent";
-        } else if (is_power_lost(lost.when)) {
-            verdict = "excused, nearly all workers were down";
-        } else {
-            count_crash(record, lost.run, lost.suspect, lost.crash);
-            if (lost.suspect || record.trial > duration::zero()) {
-                ref->job->quick_failures[lost.crash.host] = now;
-            }
-        }
+        const auto verdict = judge_lost_run(*ref, lost, now);
+        const auto& record = ref->task->crashes;
         ref->job->dirty = true;
         ref->job->needs_update = true;
         add_decision_event("run-crashed", lost.task, ref->task->run, lost.crash.host,
@@ -251,6 +240,23 @@
     }
 }
 
+// Returns what was decided, for the log.
+std::string scheduler::judge_lost_run(const task_ref& ref, const lost_run& lost, time_point now) {
+    auto& record = ref.task->crashes;
+    if (lost.never_sent) {
+        forget_crash(record);
+        return "not counted, the start was not sent";
+    }
+    if (is_power_lost(lost.when)) {
+        return "excused, nearly all workers were down";
+    }
+    count_crash(record, lost.run, lost.suspect, lost.crash);
+    if (lost.suspect || record.trial > duration::zero()) {
+        ref.job->quick_failures[lost.crash.host] = now;
+    }
+    return "counted";
+}
+
 // Ends the trial of a run that has lasted long enough.
 void scheduler::update_trial(const task_name& name, const task_ref& ref) {
     auto& record = ref.task->crashes;
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -29,7 +29,9 @@
 // faulty worker from a faulty task.
 constexpr duration exclusion_time = std::chrono::seconds{8};
 // Trials close at most one host of this many.
-constexpr std::size_t trial_host_divisor = 4;
+constexpr std::size_t trial_host_divisor = 2;
+// A trial that would have to wait for longer is left out.
+constexpr duration max_trial_delay = std::chrono::seconds{2};
 
 double remaining_work(const job_spec& spec, const job_progress& progress) {
     double work = 0;
@@ -354,9 +356,9 @@
     }
 }
 
-// Makes a group of its own of each task that needs a trial, or of its gang. If there is one, the
-// other tasks of the job wait: they may crash workers as well, and their work is lost if the job is
-// given up. Long-running tasks do not wait, since each serves by itself.
+// Makes a group of its own of the tasks of each step that need a trial. If there is one, the other
+// tasks of the job wait: they may crash workers as well, and their work is lost if the job is given
+// up. Long-running tasks do not wait, since each serves by itself, and so each gets its own trial.
 void scheduler::separate_trials(std::vector<waiting_group>& groups) const {
     std::vector<waiting_group> trials;
     for (auto& waiting : groups) {
@@ -376,13 +378,18 @@
             }
             continue;
         }
-        for (const auto index : waiting_tasks) {
-            if (needs_trial(index)) {
-                trials.push_back(waiting);
-                trials.back().group.tasks = {index};
-            }
-        }
+        auto trial = waiting;
+        std::erase_if(trial.group.tasks, [&](std::uint32_t index) { return !needs_trial(index); });
         std::erase_if(waiting_tasks, needs_trial);
+        const auto suspects = trial.group.tasks;
+        if (!waiting.group.spec->long_running && !suspects.empty()) {
+            trials.push_back(std::move(trial));
+            continue;
+        }
+        for (const auto index : suspects) {
+            trials.push_back(waiting);
+            trials.back().group.tasks = {index};
+        }
     }
     if (trials.empty()) {
         return;
@@ -406,12 +413,41 @@
     return closed < std::max<std::size_t>(1, hosts.size() / trial_host_divisor);
 }
 
-// A long-running task serves only while it runs, so it does not wait for its trial.
-void scheduler::skip_trial(waiting_group& waiting) {
-    for (const auto index : waiting.group.tasks) {
-        find({.step = waiting.group.step, .index = index})->task->crashes.trial = {};
+// Delays the trial of a group if there are too many. Once it has been delayed for too long, the
+// group starts without one. A long-running task serves only while it runs, so it does not wait.
+//
+// Returns whether the trial is delayed.
+bool scheduler::delay_trial(waiting_group& waiting, const placement_pass& pass) {
+    auto& group = waiting.group;
+    if (!group.on_trial || may_begin_trial(pass)) {
+        return false;
+    }
+    bool too_long = group.spec->long_running;
+    for (const auto index : group.tasks) {
+        auto& since = find({.step = group.step, .index = index})->state->trial_delayed_since;
+        since = since == time_point{} ? pass.now : since;
+        too_long = too_long || pass.now - since >= max_trial_delay;
+    }
+    if (!too_long) {
+        return true;
+    }
+    for (const auto index : group.tasks) {
+        find({.step = group.step, .index = index})->task->crashes.trial = {};
     }
-    waiting.group.on_trial = false;
+    group.on_trial = false;
+    return false;
+}
+
+// Starts the tasks of a trial on one host: if one of them crashes its worker, the job is given up
+// whichever it was.
+placed_tasks scheduler::place_on_trial(const task_group& group, const candidates& usable) {
+    auto places = place_partial(group, usable, fast_only);
+    if (places.empty()) {
+        places = place_partial(group, usable, {});
+    }
+    std::erase_if(places, [host = places.empty() ? 0 : places.front().host_index](
+                              const placed_task& placed) { return placed.host_index != host; });
+    return places;
 }
 
 // Marks the groups of priority 0 whose workspace stays within its guarantee with all its open jobs
@@ -459,11 +495,8 @@
 // preempt other runs or to accept slower hosts; tasks outside a gang are decided one by one.
 void scheduler::place_group(waiting_group& waiting, placement_pass& pass) {
     auto& group = waiting.group;
-    if (group.on_trial && !may_begin_trial(pass)) {
-        if (!group.spec->long_running) {
-            return;
-        }
-        skip_trial(waiting);
+    if (delay_trial(waiting, pass)) {
+        return;
     }
     const auto usable = pass.forecast.available_for(pass.now, group.spec->estimated);
     if (group.spec->gang) {
@@ -474,6 +507,15 @@
         }
         return;
     }
+    if (group.on_trial) {
+        const auto places = place_on_trial(group, usable);
+        assign(waiting, places, pass);
+        if (places.empty()) {
+            group.tasks.resize(1);
+            place_or_reserve(waiting, pass);
+        }
+        return;
+    }
     assign(waiting, place_partial(group, usable, fast_only), pass);
     auto single = waiting;
     const bool urgent = waiting.job->spec.priority == 0;
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -693,6 +693,62 @@
     CHECK(starts >= (sent ? 3U : 7U));
 }
 
+// They waited for each other's trials while most of the capacity was free.
+TEST_CASE("Jobs that need a trial start within three seconds", "[scheduler][crashes]") {
+    scheduler_fixture fixture;
+    for (const auto* host : {"h1", "h2", "h3", "h4"}) {
+        fixture.add_worker(host);
+    }
+    constexpr std::uint64_t jobs = 12;
+    for (std::uint64_t number = 0; number < jobs; ++number) {
+        auto spec = job_of("j" + std::to_string(number), 1, 1);
+        spec.steps.front().estimated = 20s;
+        job_progress progress{.phase = job_phase::active, .occurrences = {}};
+        progress.occurrences.push_back(new_occurrence(spec, 0));
+        progress.occurrences[0].steps[0][0].crashes = {
+            .crashes = 1, .early_crashes = 1, .trial = 1500ms};
+        fixture.subject.add_job({.spec = spec, .progress = progress, .cancelled = false},
+                                fixture.now);
+    }
+    const auto deadline = fixture.now + 3s;
+    fixture.run_pass();
+    CHECK(fixture.subject.counts().started == 2);
+    while (fixture.now < deadline) {
+        fixture.run_pass();
+    }
+    CHECK(fixture.subject.counts().started == jobs);
+}
+
+// Which of them crashes the worker does not matter, as the job is given up as a whole.
+TEST_CASE("Suspected tasks of one job are on trial together on one worker",
+          "[scheduler][crashes]") {
+    scheduler_fixture fixture;
+    for (const auto* host : {"h1", "h2", "h3", "h4"}) {
+        fixture.add_worker(host);
+    }
+    auto spec = job_of("j", 10, 1);
+    job_progress progress{.phase = job_phase::active, .occurrences = {}};
+    progress.occurrences.push_back(new_occurrence(spec, 0));
+    for (std::size_t index = 0; index < 9; ++index) {
+        progress.occurrences[0].steps[0][index].crashes = {
+            .crashes = 1, .early_crashes = 1, .trial = 1500ms};
+    }
+    fixture.subject.add_job({.spec = spec, .progress = progress, .cancelled = false}, fixture.now);
+    fixture.run_pass();
+    CHECK(fixture.subject.counts().started == 8);
+    CHECK(fixture.run_count("h1") == 8);
+    for (std::uint32_t pass = 1; pass <= 45; ++pass) {
+        for (auto& [host, report] : fixture.reports) {
+            for (auto& run : report.runs) {
+                run.percent = 2 * pass;
+            }
+        }
+        fixture.run_pass();
+    }
+    CHECK(fixture.subject.counts().started == 10);
+    CHECK(fixture.subject.counts().trials_passed == 9);
+}
+
 TEST_CASE("Starts of tasks that were lost in crashes are sent only to workers that respond",
           "[scheduler][crashes]") {
     scheduler_fixture fixture;
