Do not blame settled runs for crashes that younger ones explain

Cause: every crash under a task counted, also when a run that had begun shortly before was suspected of it. A task that crashes its workers was placed beside the sound ones five times.

Change: a crash under a run that had settled is excused if another run on the worker is suspected of it. Young runs count as before, also beside a trial.

--- a/src/baobabrack/workload/scheduler_crashes.cpp
+++ b/src/baobabrack/workload/scheduler_crashes.cpp
@@ -250,6 +250,9 @@
     if (is_power_lost(lost.when)) {
         return "excused, nearly all workers were down";
     }
+    if (lost.crash.scope == crash_scope::single && !lost.suspect && is_settled(lost.run.run_time)) {
+        return "excused, younger runs on the worker are suspected";
+    }
     count_crash(record, lost.run, lost.suspect, lost.crash);
     if (lost.suspect || record.trial > duration::zero()) {
         ref.job->quick_failures[lost.crash.host] = now;
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -433,11 +433,16 @@
             const worker_instance none{.host = host, .worker = {}, .version = {}};
             // A silent guard means that the host is unreachable or down, not its worker alone.
             if (worker.renewal_suspended && now <= worker.last_heard + options_.silence_limit) {
+                // Until the worker has returned lists, the reports do not tell this leader which
+                // starts were sent.
+                const auto starts_known = worker.lists_at == time_point{}
+                                              ? std::nullopt
+                                              : std::optional{worker.facts.instance};
                 handle_worker_crash(worker,
                                     {.text = "it has not responded until its lease expired",
                                      .current = none,
                                      .began = now,
-                                     .starts_known = worker.facts.instance},
+                                     .starts_known = starts_known},
                                     now);
             }
             mark_runs_lost(none, "the worker's lease expired");
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -693,6 +693,65 @@
     CHECK(starts >= (sent ? 3U : 7U));
 }
 
+// On days on which many tasks crash their workers, sound jobs beside them were given up.
+TEST_CASE("A settled run is not blamed for crashes of its worker that younger runs explain",
+          "[scheduler][crashes]") {
+    scheduler_fixture fixture;
+    fixture.add_worker("h1");
+    auto old = job_of("old", 1, 1);
+    old.steps.front().estimated = 20s;
+    fixture.submit(old);
+    constexpr std::uint64_t crashes = 8;
+    for (std::uint64_t crash = 1; crash <= crashes; ++crash) {
+        for (std::uint32_t pass = 1; pass <= 30; ++pass) {
+            for (auto& run : fixture.reports["h1"].runs) {
+                run.percent = pass;
+            }
+            fixture.run_pass();
+        }
+        const auto young = "young-" + std::to_string(crash);
+        fixture.submit(job_of(young, 1, 1));
+        fixture.run_pass();
+        REQUIRE(fixture.run_count("h1", "old") == 1);
+        REQUIRE(fixture.run_count("h1", young) == 1);
+        auto& report = fixture.reports["h1"];
+        report.facts.instance.version = incarnation{crash + 1};
+        report.runs.clear();
+        fixture.now += 3s;
+        fixture.subject.handle_report(report, fixture.now);
+        fixture.subject.cancel_job(job_id{young});
+    }
+    fixture.run_pass();
+    CHECK(fixture.run_count("h1", "old") == 1);
+    CHECK(fixture.subject.counts().given_up == 0);
+}
+
+TEST_CASE("A start that an earlier leader ordered counts although the worker has returned no lists",
+          "[scheduler][crashes]") {
+    scheduler_fixture fixture;
+    fixture.add_worker("h1");
+    auto& report = fixture.reports["h1"];
+    auto spec = job_of("j", 1, 1);
+    job_progress progress{.phase = job_phase::active, .occurrences = {}};
+    progress.occurrences.push_back(new_occurrence(spec, 0));
+    progress.occurrences[0].steps[0][0] = {
+        .phase = task_phase::assigned, .run = run_number{1}, .place = report.facts.instance};
+    fixture.subject.add_job({.spec = spec, .progress = progress, .cancelled = false}, fixture.now);
+    report.lists_known = false;
+    report.lease_suspended = true;
+    for (int second = 0; second < 12; ++second) {
+        fixture.subject.handle_report(report, fixture.now);
+        fixture.subject.decide(&fixture.config, fixture.now, fixture.wall_now);
+        fixture.now += 1s;
+    }
+    const auto events = fixture.subject.drain_decision_events();
+    const auto crashed = std::find_if(events.begin(), events.end(), [](const auto& event) {
+        return event.event == "run-crashed";
+    });
+    REQUIRE(crashed != events.end());
+    CHECK(crashed->detail.starts_with("counted"));
+}
+
 // They waited for each other's trials while most of the capacity was free.
 TEST_CASE("Jobs that need a trial start within three seconds", "[scheduler][crashes]") {
     scheduler_fixture fixture;
