--- a/src/baobabrack/workload/job_spec.cpp
+++ b/src/baobabrack/workload/job_spec.cpp
@@ -89,6 +89,11 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+bool has_long_running_step(const job_spec& spec) {
+    return std::any_of(spec.steps.begin(), spec.steps.end(),
+                       [](const step_spec& step) { return step.long_running; });
+}
+
 duration critical_path_time(const job_spec& spec) {
     std::vector<duration> ends;
     duration longest{};
--- a/src/baobabrack/workload/job_spec.hpp
+++ b/src/baobabrack/workload/job_spec.hpp
@@ -74,6 +74,9 @@
 /// @return the estimated run time of the longest chain of dependent steps
 duration critical_path_time(const job_spec& spec);
 
+/// @return whether a step of the job runs until the job is cancelled
+bool has_long_running_step(const job_spec& spec);
+
 /// @return the job, or `invalid` if the record violates a rule
 result<job_spec> from_wire(const wire::WorkloadSubmission& record);
 wire::WorkloadSubmission to_wire(const job_spec& spec);
--- a/src/baobabrack/workload/placement.hpp
+++ b/src/baobabrack/workload/placement.hpp
@@ -64,6 +64,10 @@
     bool allow_multiple_racks = true;
 };
 
+/// Allows only hosts on which a task runs at full speed.
+inline constexpr placement_constraints fast_only{.allow_remote = false,
+                                                 .allow_multiple_racks = false};
+
 /// @return the number of tasks of the group that fit into the free capacity of the host
 std::uint32_t task_capacity(const task_group& group, const candidate& host);
 
--- a/src/baobabrack/workload/scheduler_crashes.cpp
+++ b/src/baobabrack/workload/scheduler_crashes.cpp
@@ -260,41 +260,4 @@
     return "counted";
 }
 
-// Ends the trial of a run that has lasted long enough.
-void scheduler::update_trial(const task_name& name, const task_ref& ref) {
-    auto& record = ref.task->crashes;
-    if (record == crash_record{}) {
-        return;
-    }
-    const auto run_time = confirmed_run_time(ref);
-    if (record.trial > duration::zero() && run_time >= record.trial) {
-        record.trial = {};
-        trials_.erase(name);
-        ref.job->dirty = true;
-        capacity_changed_ = true;
-        ++counts_.trials_passed;
-        add_decision_event("trial-passed", name, ref.task->run, ref.task->place.host,
-                           "the run has lasted for " + to_ms_text(run_time));
-    }
-    if (outlives_record(record, run_time)) {
-        record = {};
-        ref.job->dirty = true;
-    }
-}
-
-bool scheduler::has_trial(const job_id& job) const {
-    const auto first = trials_.lower_bound(task_name{.step = {.job = job}});
-    return first != trials_.end() && first->step.job == job;
-}
-
-std::set<host_id> scheduler::trial_hosts() {
-    std::set<host_id> hosts;
-    for (const auto& name : trials_) {
-        if (const auto ref = find(name)) {
-            hosts.insert(ref->task->place.host);
-        }
-    }
-    return hosts;
-}
-
 }  // namespace baobabrack::workload
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -18,7 +18,6 @@
 constexpr milliseconds due_margin{60};
 // Jobs whose age exceeds this multiple of their objective have no value any more.
 constexpr int max_lateness_factor = 3;
-constexpr placement_constraints fast_only{.allow_remote = false, .allow_multiple_racks = false};
 // Base ranks of groups that are past their objective and of groups without value.
 constexpr double late_rank = 1e6;
 constexpr double no_value_rank = 2e6;
@@ -28,10 +27,6 @@
 // How long a job avoids a host where its runs have failed. It is longer than it takes to tell a
 // faulty worker from a faulty task.
 constexpr duration exclusion_time = std::chrono::seconds{8};
-// Trials close at most one host of this many.
-constexpr std::size_t trial_host_divisor = 2;
-// A trial that would have to wait for longer is left out.
-constexpr duration max_trial_delay = std::chrono::seconds{2};
 
 double remaining_work(const job_spec& spec, const job_progress& progress) {
     double work = 0;
@@ -48,11 +43,6 @@
     return work;
 }
 
-bool has_long_running_step(const job_spec& spec) {
-    return std::any_of(spec.steps.begin(), spec.steps.end(),
-                       [](const step_spec& step) { return step.long_running; });
-}
-
 // The completion time that the job's queue promises.
 duration objective_of(const job_spec& spec) {
     return from_seconds(to_seconds(critical_path_time(spec)) * spec.slack_factor) +
@@ -356,100 +346,6 @@
     }
 }
 
-// Makes a group of its own of the tasks of each step that need a trial. If there is one, the other
-// tasks of the job wait: they may crash workers as well, and their work is lost if the job is given
-// up. Long-running tasks do not wait, since each serves by itself, and so each gets its own trial.
-void scheduler::separate_trials(std::vector<waiting_group>& groups) const {
-    std::vector<waiting_group> trials;
-    for (auto& waiting : groups) {
-        const auto& occurrences = waiting.job->progress.occurrences;
-        const auto occurrence = std::find_if(
-            occurrences.begin(), occurrences.end(),
-            [&](const auto& other) { return other.number == waiting.group.step.occurrence; });
-        const auto& tasks = occurrence->steps[waiting.group.step.step];
-        const auto needs_trial = [&](std::uint32_t index) {
-            return tasks[index].crashes.trial > duration::zero();
-        };
-        auto& waiting_tasks = waiting.group.tasks;
-        if (waiting.group.spec->gang) {
-            if (std::any_of(waiting_tasks.begin(), waiting_tasks.end(), needs_trial)) {
-                trials.push_back(waiting);
-                waiting_tasks.clear();
-            }
-            continue;
-        }
-        auto trial = waiting;
-        std::erase_if(trial.group.tasks, [&](std::uint32_t index) { return !needs_trial(index); });
-        std::erase_if(waiting_tasks, needs_trial);
-        const auto suspects = trial.group.tasks;
-        if (!waiting.group.spec->long_running && !suspects.empty()) {
-            trials.push_back(std::move(trial));
-            continue;
-        }
-        for (const auto index : suspects) {
-            trials.push_back(waiting);
-            trials.back().group.tasks = {index};
-        }
-    }
-    if (trials.empty()) {
-        return;
-    }
-    for (auto& trial : trials) {
-        trial.group.on_trial = true;
-    }
-    if (!has_long_running_step(trials.front().job->spec)) {
-        groups = {std::move(trials.front())};
-        return;
-    }
-    std::erase_if(groups, [](const waiting_group& waiting) { return waiting.group.tasks.empty(); });
-    groups.insert(groups.end(), trials.begin(), trials.end());
-}
-
-// Limits the share of the hosts that are closed by trials.
-bool scheduler::may_begin_trial(const placement_pass& pass) {
-    const auto& hosts = pass.forecast.available();
-    const auto closed = static_cast<std::size_t>(std::count_if(
-        hosts.begin(), hosts.end(), [](const candidate& host) { return host.closed; }));
-    return closed < std::max<std::size_t>(1, hosts.size() / trial_host_divisor);
-}
-
-// Delays the trial of a group if there are too many. Once it has been delayed for too long, the
-// group starts without one. A long-running task serves only while it runs, so it does not wait.
-//
-// Returns whether the trial is delayed.
-bool scheduler::delay_trial(waiting_group& waiting, const placement_pass& pass) {
-    auto& group = waiting.group;
-    if (!group.on_trial || may_begin_trial(pass)) {
-        return false;
-    }
-    bool too_long = group.spec->long_running;
-    for (const auto index : group.tasks) {
-        auto& since = find({.step = group.step, .index = index})->state->trial_delayed_since;
-        since = since == time_point{} ? pass.now : since;
-        too_long = too_long || pass.now - since >= max_trial_delay;
-    }
-    if (!too_long) {
-        return true;
-    }
-    for (const auto index : group.tasks) {
-        find({.step = group.step, .index = index})->task->crashes.trial = {};
-    }
-    group.on_trial = false;
-    return false;
-}
-
-// Starts the tasks of a trial on one host: if one of them crashes its worker, the job is given up
-// whichever it was.
-placed_tasks scheduler::place_on_trial(const task_group& group, const candidates& usable) {
-    auto places = place_partial(group, usable, fast_only);
-    if (places.empty()) {
-        places = place_partial(group, usable, {});
-    }
-    std::erase_if(places, [host = places.empty() ? 0 : places.front().host_index](
-                              const placed_task& placed) { return placed.host_index != host; });
-    return places;
-}
-
 // Marks the groups of priority 0 whose workspace stays within its guarantee with all its open jobs
 // of priority 0.
 void scheduler::mark_entitled(const workload_config& config,
--- a/src/baobabrack/workload/worker_guard.hpp
+++ b/src/baobabrack/workload/worker_guard.hpp
@@ -63,6 +63,12 @@
     void set_seeds(std::vector<std::string> seeds);
 
 private:
+    /// The worker runs on the same host and answers a call within a few milliseconds. A lost start
+    /// delays the other runs of its gang, so it has to be detected quickly.
+    static constexpr duration call_timeout = std::chrono::milliseconds{250};
+    /// Increment of the token past that of an unanswered call.
+    static constexpr std::uint64_t token_step = 1;
+
     void send_periodic_report();
     void schedule_report();
     void send_report();
