--- a/tests/workload/worker_guard.tests.cpp
+++ b/tests/workload/worker_guard.tests.cpp
@@ -442,6 +442,12 @@
         fixture.answer_renewal({}, 1430);
         CHECK(fixture.worker.starts.size() == 1);
     }
+    SECTION("it is not sent if the capacity has shrunk meanwhile") {
+        fixture.announce(1, 1110, 0);
+        fixture.answer_renewal({}, 1120);
+        CHECK(fixture.worker.starts.empty());
+        CHECK(fixture.newest_report.refusals_size() == 1);
+    }
     SECTION("it is not sent after it was cancelled") {
         fixture.order({.worker = {},
                        .ends_stored = 0,
