--- a/review/rig/platform_standin.py
+++ b/review/rig/platform_standin.py
@@ -229,6 +229,7 @@
     and after how long they crash their worker (`crash_ms`)."""
 
     PING_S = 1.5
+    DRAIN_S = 3.0
 
     def __init__(self, record, name, host, port, guard, *, rack, service, back_s=3.0, gangs=None,
                  capacity=None):
@@ -238,6 +239,7 @@
         self.gangs = gangs if gangs is not None else {}
         self.starts = []
         self.ends = []
+        self.end_times = []
         self.crashes = 0
         self.up = False
         self.tasks = set()
@@ -250,12 +252,14 @@
         self.clock_zero = time.monotonic()
         self.fence = 0
         self.lease_end = 0
+        self.state = "ready"
         self.running = {}
         self.highest = {}
         self.finished = []
         self.end_count = 0
         self.sequence = 0
         self.changed = asyncio.Event()
+        self.drain_acknowledged = asyncio.Event()
         self.spawn(self.ping())
         self.spawn(self.watch_lease())
 
@@ -289,11 +293,31 @@
         while True:
             self.sequence += 1
             body = {"Service": self.service, "Address": f"{self.host}:{self.port}", "Zone": "zone-a",
-                    "Version": "v1", "Slots": 8, "State": "ready", "ColdRemaining" + "Ms": 0,
+                    "Version": "v1", "Slots": 8, "State": self.state, "ColdRemaining" + "Ms": 0,
                     "Capacity": self.capacity, "Labels": ["a", self.rack], CLOCK: self.clock(),
                     "Sequence": self.sequence, "born": self.born}
-            await http_call(*self.guard, "PUT", f"/-/instances/{self.name}", body, timeout=1.0)
-            await asyncio.sleep(self.PING_S)
+            status, _ = await http_call(*self.guard, "PUT", f"/-/instances/{self.name}", body,
+                                        timeout=1.0)
+            if status == 200 and body["State"] == "draining":
+                self.drain_acknowledged.set()
+            await asyncio.sleep(self.PING_S if status == 200 else 0.2)
+
+    async def drain(self):
+        """Leaves as planned: says so, serves on for a while after the confirmation, and ends."""
+        self.record(f"{self.name}: drains")
+        self.state = "draining"
+        await self.drain_acknowledged.wait()
+        await asyncio.sleep(self.DRAIN_S)
+        await http_call(*self.guard, "DELETE", f"/-/instances/{self.name}", timeout=1.0)
+        for key in list(self.running):
+            self.record(f"{self.name}: {key[0]} run {key[1]} terminates as the worker leaves")
+        self.record(f"{self.name}: has left")
+        self.up = False
+        self.running = {}
+        self.server.stop()
+        for task in list(self.tasks):
+            if task is not asyncio.current_task():
+                task.cancel()
 
     async def watch_lease(self):
         while True:
@@ -364,7 +388,9 @@
             if "crash_ms" in plan and passed >= plan["crash_ms"]:
                 self.crash(f"{key[0]} run {key[1]} crashes it")
                 return
-            if passed >= plan["run_ms"]:
+            # `first_run_ms` is how long the first run lasts, if that differs.
+            run_ms = plan.get("first_run_ms", plan["run_ms"]) if key[1] == 1 else plan["run_ms"]
+            if passed >= run_ms:
                 self.end(key, "done")
                 return
             self.running[key]["percent"] = min(99, int(100 * passed / plan["run_ms"]))
@@ -381,6 +407,7 @@
         self.highest[key[0]] = max(self.highest.get(key[0], 0), key[1])
         self.finished.append([self.end_count, key[0], key[1], how, ""])
         self.ends.append((*key, how))
+        self.end_times.append((self.record.now(), *key, how))
         self.record(f"{self.name}: ends {key[0]} run {key[1]} as {how}")
         self.changed.set()
 
--- a/review/rig/system.py
+++ b/review/rig/system.py
@@ -29,16 +29,19 @@
 KEY = "key-a"
 
 
-def config(version=1):
+OTHER_SERVICE = "service-b"
+
+
+def config(version=1, usual_service=SERVICE):
     """A configuration with one queue of each priority."""
 
     def route(name, priority):
         return {"Name": name, "Host": f"{name}.example", "Path" + "Prefix": f"/{name}/",
-                "Service": SERVICE, "Priority": priority, "MaxAttempts": 3,
+                "Service": usual_service if name == "usual" else SERVICE, "Priority": priority, "MaxAttempts": 3,
                 "Slack" + "Factor": 3.0, "TargetCompletion" + "Ms": 3000}
 
     return {"Version": version, "Routes": [route("urgent", 0), route("usual", 1), route("low", 2)],
-            "Services": [{"Name": SERVICE, "Preconditions": False}],
+            "Services": [{"Name": name, "Preconditions": False} for name in (SERVICE, OTHER_SERVICE)],
             "Tenants": [{"Name": "tenant-a", "Api" + "Keys": [KEY], "Guaranteed": {"Gpu": 16}}],
             "Limits": {}}
 
@@ -118,7 +121,8 @@
 class System:
     """A small deployment: three schedulers, and workers with a guard each."""
 
-    def __init__(self, folder_of_case, workers=4, schedulers=3, per_rack=3, back_s=3.0):
+    def __init__(self, folder_of_case, workers=4, schedulers=3, per_rack=3, back_s=3.0,
+                 services=None):
         self.record = Record(os.path.join(folder_of_case, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="baobabrack-review-")
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
@@ -139,7 +143,8 @@
             ip = f"{prefix}.{101 + at}"
             self.guards.append(Machine(self, f"side-{at + 1}", "worker-guard", ip, ""))
             self.workers.append(Worker(self.record, f"i-{at + 1:04x}", ip, APP, (ip, CONTROL),
-                                       rack=f"r1-{at // per_rack + 1}", service=SERVICE,
+                                       rack=f"r1-{at // per_rack + 1}",
+                                       service=services[at] if services else SERVICE,
                                        back_s=back_s, gangs=self.gangs))
 
     async def start(self):
