--- a/review/4/case.py
+++ b/review/4/case.py
@@ -8,7 +8,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "rig"))
 from system import OTHER_SERVICE, SERVICE, config, job, main, new_id, step
 
-WORKERS = 12
+WORKERS = 13
 FINISH_S = 14.0  # `finish_s` of the small site
 IDLE_S = 3.0
 
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+exec python3 -B case.py
