--- a/review/rig/platform_standin.py
+++ b/review/rig/platform_standin.py
@@ -131,12 +131,17 @@
 class Store:
     """The log of the platform. Answers are linearizable; appends are all or nothing."""
 
+    # `RecordBytes` and `RequestBytes` of the platform's settings.
+    RECORD_BYTES = 262144
+    REQUEST_BYTES = 2097152
+
     def __init__(self, record):
         self.record = record
         self.topics = {}
         self.changed = asyncio.Condition()
         self.cut = set()
         self.delay_s = {}
+        self.refusals = 0
         self.servers = {}
 
     async def listen(self, name, host, port):
@@ -181,11 +186,17 @@
         await asyncio.sleep(self.delay_s.get(name, 0.004))
         if parts.path == "/-/log-" + "append":
             records, rest = [], body
+            at = int(query["At"]) if query.get("At") else None
+            if at is not None and at != len(self.topic(topic)):
+                return json_answer(412, {"Offset": 0, END_OFFSET: len(self.topic(topic))})
             while rest:
                 (length,) = struct.unpack(">I", rest[:4])
+                if length > self.RECORD_BYTES or len(body) > self.REQUEST_BYTES:
+                    self.refusals += 1
+                    self.record(f"store: refuses an append by {name}, a record has {length} bytes")
+                    return 413, {}, b""
                 entry, rest = rest[4 : 4 + length], rest[4 + length :]
                 records.append((entry[1 : 1 + entry[0]], entry[1 + entry[0] :]))
-            at = int(query["At"]) if query.get("At") else None
             stored, first, end = await self.append(topic, records, at)
             answer = json_answer(200 if stored else 412, {"Offset": first, END_OFFSET: end})
         elif parts.path == "/-/log-" + "read":
@@ -240,6 +251,9 @@
         self.starts = []
         self.ends = []
         self.end_times = []
+        self.numbered_ends = []
+        self.acknowledged = 0
+        self.lapses = 0
         self.crashes = 0
         self.up = False
         self.tasks = set()
@@ -322,7 +336,10 @@
     async def watch_lease(self):
         while True:
             await asyncio.sleep(0.02)
-            if self.running and self.clock() > self.lease_end:
+            if 0 < self.lease_end < self.clock():
+                self.record(f"{self.name}: its lease has lapsed")
+                self.lapses += 1
+                self.lease_end = 0
                 for key in list(self.running):
                     self.end(key, "lapsed")
 
@@ -380,8 +397,10 @@
                 self.end(key, "alone")
                 return
         began = time.monotonic()
+        # Long units without a crash need no exact end.
+        pause_s = 0.02 if plan["run_ms"] < 10000 or "crash_ms" in plan else 0.2
         while True:
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(pause_s)
             if key not in self.running:
                 return
             passed = (time.monotonic() - began) * 1000
@@ -393,7 +412,11 @@
             if passed >= run_ms:
                 self.end(key, "done")
                 return
-            self.running[key]["percent"] = min(99, int(100 * passed / plan["run_ms"]))
+            if plan.get("lasts"):
+                # At work after a short startup.
+                self.running[key]["percent"] = 100 if passed >= 500 else 0
+            else:
+                self.running[key]["percent"] = min(99, int(100 * passed / plan["run_ms"]))
             if count and any(not w.up or (name, key[1]) not in w.running
                              for name, w in present.items()):
                 done = any((name, key[1], "done") in w.ends for name, w in present.items())
@@ -408,9 +431,16 @@
         self.finished.append([self.end_count, key[0], key[1], how, ""])
         self.ends.append((*key, how))
         self.end_times.append((self.record.now(), *key, how))
+        self.numbered_ends.append((self.end_count, self.record.now(), *key, how))
         self.record(f"{self.name}: ends {key[0]} run {key[1]} as {how}")
         self.changed.set()
 
+    def checkpoint(self, state):
+        """A new value each half second of work; `checkpoint_bytes` long if the job says so."""
+        size = state["plan"].get("checkpoint_bytes", 0)
+        count = int((time.monotonic() - state["began"]) / 0.5)
+        return f"{count:016x}".ljust(size, "0")[:size] if count else ""
+
     def stop_run(self, fields):
         key = (fields["Task"], int(fields[RUN_ID]))
         self.highest[key[0]] = max(self.highest.get(key[0], 0), key[1])
@@ -420,6 +450,9 @@
     async def hold(self, fields):
         self.extend(fields)
         seen = int(fields.get(ENDS_SEEN, 0))
+        if seen > self.acknowledged:
+            self.record(f"{self.name}: its ends up to {seen} have been taken note of")
+            self.acknowledged = seen
         self.finished = [row for row in self.finished if row[0] > seen]
         wait_s = float(fields.get(WAIT, 0)) / 1000
         if wait_s > 0 and not self.finished:
@@ -430,6 +463,7 @@
                 pass
         if not self.up:
             return None
-        running = [[task, run, "", state["percent"]] for (task, run), state in self.running.items()]
+        running = [[task, run, self.checkpoint(state), state["percent"]]
+                   for (task, run), state in self.running.items()]
         return json_answer(200, {CLOCK: self.clock(), "Running": running,
                                  "Finished": self.finished[:500], "born": self.born})
--- a/review/rig/system.py
+++ b/review/rig/system.py
@@ -11,7 +11,6 @@
 import subprocess
 import sys
 import tempfile
-import tomllib
 
 from platform_standin import MEMORY, Record, Store, Worker, http_call
 
@@ -46,6 +45,18 @@
             "Limits": {}}
 
 
+def read_roles():
+    """Reads the command and the template of each role from the deploy file."""
+    roles = {}
+    with open(os.path.join(ROOT, "deploy/system.toml"), encoding="utf-8") as file:
+        for line in file:
+            if found := re.match(r"\[roles\.([\w-]+)\]", line):
+                role = roles.setdefault(found.group(1), {})
+            elif found := re.match(r'(run|template) = "([^"]*)"', line):
+                role[found.group(1)] = found.group(2)
+    return roles
+
+
 def render(template, fields):
     """Fills in a template of settings; only plain placeholders occur in the two templates."""
 
@@ -125,8 +136,7 @@
                  services=None):
         self.record = Record(os.path.join(folder_of_case, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="baobabrack-review-")
-        with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
-            self.roles = tomllib.load(file)["roles"]
+        self.roles = read_roles()
         program = self.roles["scheduler"]["run"].split()[0]
         if not os.access(os.path.join(ROOT, program), os.X_OK):
             raise RuntimeError(f"{program} is not built")
@@ -221,19 +231,26 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
+        loop = asyncio.get_running_loop()
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         system = System(folder, **shape)
         try:
             await system.start()
-            broken = await asyncio.wait_for(case(system, trouble), 110)
+            broken = await asyncio.wait_for(case(system, trouble), 100)
             system.record("verdict: " + ("; ".join(broken) if broken else "the rule held"))
             return 1 if broken else 0
         finally:
             system.stop()
 
     try:
-        code = asyncio.run(run())
-    except Exception as error:  # Any failure of the case itself is not a verdict.
+        code = asyncio.new_event_loop().run_until_complete(run())
+    # Any failure of the case itself is not a verdict.
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {type(error).__name__}: {error}", file=sys.stderr)
         code = 2
     print({0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}[code])
-    sys.exit(code)
+    sys.stdout.flush()
+    # Does not wait for the stand-ins' open connections.
+    os._exit(code)
