--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,53 +1,50 @@
-"""A job whose only start was refused, as the worker had just crashed, is not counted as pending."""
+"""A configuration sends a queue to another service, and the old service's worker leaves. A job that
+was accepted before never runs on."""
 
 import asyncio
-import json
 import os
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "rig"))
-from system import job, main, new_id, step
+from system import OTHER_SERVICE, SERVICE, config, job, main, new_id, step
 
-WORKERS = 6
-# The rule holds for jobs that were accepted over `visible_ms` and 2 s before.
-VISIBLE_S = 3.0 + 2.0
+WORKERS = 13
+FINISH_S = 14.0  # `finish_s` of the small site
+IDLE_S = 3.0
 
 
 async def case(system, trouble):
     record = system.record
-    # All workers but one are full for the whole script.
-    for _ in range(WORKERS - 1):
-        body = job({"run_ms": 60000}, step(gpu=8, estimated_ms=60000))
-        status, _ = await system.call(0, "POST", "usual", new_id(), body)
-        if status != 200:
-            raise RuntimeError(f"a job was not accepted: {status}")
-    await asyncio.sleep(2.0)
-    free = next(worker for worker in system.workers if not worker.running)
-    if trouble:
-        free.back_s = 3600.0
-        free.crash("as the disruption says, for good")
-    await asyncio.sleep(0.3)
     identifier = new_id()
-    accepted_at = record.now()
-    body = job({"run_ms": 20000}, step(gpu=8, estimated_ms=20000))
-    status, _ = await system.call(0, "POST", "low", identifier, body)
+    body = job({"run_ms": 6000}, step(gpu=8, estimated_ms=6000),
+               step(gpu=8, estimated_ms=6000, After=[0]))
+    status, _ = await system.call(0, "POST", "usual", identifier, body)
     if status != 200:
         raise RuntimeError(f"the job was not accepted: {status}")
-    broken = []
-    await asyncio.sleep(VISIBLE_S + 1.0)
-    for _ in range(4):
-        for at in range(3):
-            status, answer = await system.call(at, "GET", "low", "")
-            begun = any(task.startswith(identifier) for worker in system.workers
-                        for _, task, _ in worker.starts)
-            pending = json.loads(answer).get("Pending") if status == 200 else None
-            if not begun and pending is not None and pending < 0.5:
-                broken.append(f"{system.schedulers[at].name} gives {pending} as pending "
-                              f"{record.now() - accepted_at:.1f} s after the only job of the queue "
-                              f"was accepted, of which no work unit has started")
-        await asyncio.sleep(2.0)
-    record(f"the job is shown as {await system.state(0, 'low', identifier)}")
-    return broken
+    await asyncio.sleep(2.0)
+    old = next(worker for worker in system.workers if worker.service == SERVICE)
+    if trouble:
+        await system.store.publish(config(2, usual_service=OTHER_SERVICE))
+        record(f"operator: version 2 sends the queue to {OTHER_SERVICE}")
+        await asyncio.sleep(1.0)
+        await old.drain()
+    # Work that is handed in now shows that the new service takes the queue's work.
+    later = new_id()
+    status, _ = await system.call(1, "POST", "usual", later, job({"run_ms": 1000}, step()))
+    await asyncio.sleep(8.0)
+    record(f"the later job is {await system.state(1, 'usual', later)}")
+    await asyncio.sleep(FINISH_S + IDLE_S)
+    state = await system.state(0, "usual", identifier)
+    # Each call of a client's is answered, but nothing runs, and nothing is in the way.
+    running = [key for worker in system.workers for key in worker.running]
+    if state == "completed" or running:
+        return []
+    last = max((at for worker in system.workers for at, task, *_ in worker.end_times
+                if task.startswith(identifier)), default=0.0)
+    return [f"job {identifier} is shown as {state} and has had nothing running for "
+            f"{record.now() - last:.0f} s; the {WORKERS - 1} workers of {OTHER_SERVICE}, to which "
+            f"the queue is sent, are idle"]
 
 
-main(case, os.path.dirname(os.path.abspath(__file__)), workers=WORKERS)
+main(case, os.path.dirname(os.path.abspath(__file__)), workers=WORKERS,
+     services=[SERVICE] + [OTHER_SERVICE] * (WORKERS - 1))
