--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,5 +1,5 @@
-"""A configuration sends a queue to another service, and the old service's worker leaves. A job that
-was accepted before never runs on."""
+"""A configuration sends a queue to another service, and the one worker of the old service that suits a
+job leaves. The job, which was accepted before, never runs on."""
 
 import asyncio
 import os
@@ -8,7 +8,8 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "rig"))
 from system import OTHER_SERVICE, SERVICE, config, job, main, new_id, step
 
-WORKERS = 13
+OLD_WORKERS, NEW_WORKERS = 13, 4
+KIND = "b"  # the label that the job requires; one worker of the old service and all new ones have it
 FINISH_S = 14.0  # `finish_s` of the small site
 IDLE_S = 3.0
 
@@ -16,13 +17,13 @@
 async def case(system, trouble):
     record = system.record
     identifier = new_id()
-    body = job({"run_ms": 6000}, step(gpu=8, estimated_ms=6000),
-               step(gpu=8, estimated_ms=6000, After=[0]))
+    body = job({"run_ms": 6000}, step(gpu=8, estimated_ms=6000, Requirements=KIND),
+               step(gpu=8, estimated_ms=6000, Requirements=KIND, After=[0]))
     status, _ = await system.call(0, "POST", "usual", identifier, body)
     if status != 200:
         raise RuntimeError(f"the job was not accepted: {status}")
     await asyncio.sleep(2.0)
-    old = next(worker for worker in system.workers if worker.service == SERVICE)
+    old = system.workers[0]
     if trouble:
         await system.store.publish(config(2, usual_service=OTHER_SERVICE))
         record(f"operator: version 2 sends the queue to {OTHER_SERVICE}")
@@ -30,7 +31,7 @@
         await old.drain()
     # Work that is handed in now shows that the new service takes the queue's work.
     later = new_id()
-    status, _ = await system.call(1, "POST", "usual", later, job({"run_ms": 1000}, step()))
+    status, _ = await system.call(1, "POST", "usual", later, job({"run_ms": 1000}, step(Requirements=KIND)))
     await asyncio.sleep(8.0)
     record(f"the later job is {await system.state(1, 'usual', later)}")
     await asyncio.sleep(FINISH_S + IDLE_S)
@@ -42,9 +43,10 @@
     last = max((at for worker in system.workers for at, task, *_ in worker.end_times
                 if task.startswith(identifier)), default=0.0)
     return [f"job {identifier} is shown as {state} and has had nothing running for "
-            f"{record.now() - last:.0f} s; the {WORKERS - 1} workers of {OTHER_SERVICE}, to which "
-            f"the queue is sent, are idle"]
+            f"{record.now() - last:.0f} s; the {NEW_WORKERS} workers of {OTHER_SERVICE}, to which "
+            f"the queue is sent, are idle and have the label"]
 
 
-main(case, os.path.dirname(os.path.abspath(__file__)), workers=WORKERS,
-     services=[SERVICE] + [OTHER_SERVICE] * (WORKERS - 1))
+main(case, os.path.dirname(os.path.abspath(__file__)), workers=OLD_WORKERS + NEW_WORKERS,
+     services=[SERVICE] * OLD_WORKERS + [OTHER_SERVICE] * NEW_WORKERS,
+     kinds=[KIND] + ["a"] * (OLD_WORKERS - 1) + [KIND] * NEW_WORKERS)
--- a/review/rig/platform_standin.py
+++ b/review/rig/platform_standin.py
@@ -243,9 +243,10 @@
     DRAIN_S = 3.0
 
     def __init__(self, record, name, host, port, guard, *, rack, service, back_s=3.0, gangs=None,
-                 capacity=None):
+                 capacity=None, kind="a"):
         self.record, self.name, self.host, self.port = record, name, host, port
         self.guard, self.rack, self.service, self.back_s = guard, rack, service, back_s
+        self.kind = kind
         self.capacity = capacity or {"Cpu": 64000, MEMORY: 262144, "Gpu": 8}
         self.gangs = gangs if gangs is not None else {}
         self.starts = []
@@ -308,7 +309,7 @@
             self.sequence += 1
             body = {"Service": self.service, "Address": f"{self.host}:{self.port}", "Zone": "zone-a",
                     "Version": "v1", "Slots": 8, "State": self.state, "ColdRemaining" + "Ms": 0,
-                    "Capacity": self.capacity, "Labels": ["a", self.rack], CLOCK: self.clock(),
+                    "Capacity": self.capacity, "Labels": [self.kind, self.rack], CLOCK: self.clock(),
                     "Sequence": self.sequence, "born": self.born}
             status, _ = await http_call(*self.guard, "PUT", f"/-/instances/{self.name}", body,
                                         timeout=1.0)
--- a/review/rig/system.py
+++ b/review/rig/system.py
@@ -133,7 +133,7 @@
     """A small deployment: three schedulers, and workers with a guard each."""
 
     def __init__(self, folder_of_case, workers=4, schedulers=3, per_rack=3, back_s=3.0,
-                 services=None):
+                 services=None, kinds=None):
         self.record = Record(os.path.join(folder_of_case, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="baobabrack-review-")
         self.roles = read_roles()
@@ -155,7 +155,7 @@
             self.workers.append(Worker(self.record, f"i-{at + 1:04x}", ip, APP, (ip, CONTROL),
                                        rack=f"r1-{at // per_rack + 1}",
                                        service=services[at] if services else SERVICE,
-                                       back_s=back_s, gangs=self.gangs))
+                                       kind=kinds[at] if kinds else "a", back_s=back_s, gangs=self.gangs))
 
     async def start(self):
         await self.store.publish(config())
