--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,6 +8,7 @@
 from system import job, main, new_id, step
 
 JOBS, UNITS = 6, 105  # 630 work units of a tenth of a core: one worker has room for 640
+LISTED = 500
 WORK_S = 9.0
 DOWN_S = 1.2
 
@@ -29,6 +30,8 @@
     worker = max(system.workers, key=lambda other: len(other.running))
     guard = system.guards[system.workers.index(worker)]
     record(f"{worker.name} has {len(worker.running)} runs; its guard is {guard.name}")
+    if len(worker.running) <= LISTED:
+        raise RuntimeError("no worker has more runs than it lists ends at a time")
     if trouble:
         guard.kill()
         await asyncio.sleep(DOWN_S)
