Conclude nothing from a worker's incomplete list of ends

Cause: a worker lists 500 ends at a time. A guard that has just started took a stored run that is in neither list for one that was never started. The worker rejected its start as outdated, which it also does for a run that has completed, and the guard reported a refusal, so the leader placed the task again. The flag that the list is cut only protected starts of the same guard process.

Ruled out: ends acknowledged before they were stored; each first run has its run-ended line within 30 ms of the refusal.

Change: while the lists are incomplete, a run in neither is neither started nor refused; a start that is outdated is refused only after newer lists show no end. Events lists-incomplete and lists-complete tell when this applies. The fake worker lists a limited number of ends, and the simulated cluster also notices a start after an end that is acknowledged later.

--- a/scenarios/fakes/fake_guarded_worker.cpp
+++ b/scenarios/fakes/fake_guarded_worker.cpp
@@ -66,6 +66,7 @@
     highest_ended_.clear();
     ends_.clear();
     last_end_sequence_ = 0;
+    last_end_before_lapse_ = 0;
     highest_token_ = {};
     lease_ms_ = 0;
     instance_started_at_ = loop_.now();
@@ -130,6 +131,7 @@
     if (clock().get() < lease_ms_) {
         return;
     }
+    last_end_before_lapse_ = last_end_sequence_;
     const auto current_runs = runs_;
     for (const auto& [key, run] : current_runs) {
         end_run(key, run_outcome::lease_lapsed, version_);
@@ -173,12 +175,14 @@
     extend_lease(call.lease_until);
     for (const auto& end : ends_) {
         if (end.sequence <= call.acknowledged_ends) {
-            listener_.end_acknowledged(end);
+            listener_.end_acknowledged(end, end.sequence <= last_end_before_lapse_);
         }
     }
     std::erase_if(ends_, [&](const auto& end) { return end.sequence <= call.acknowledged_ends; });
-    workload::renew_reply answer{.reply = reply(call_outcome::accepted),
-                                 .lists = {.runs = {}, .ends = ends_}};
+    workload::renew_reply answer{.reply = reply(call_outcome::accepted), .lists = {}};
+    const auto listed = std::min(ends_.size(), options_.max_listed_ends);
+    answer.lists.ends.assign(ends_.begin(), ends_.begin() + static_cast<std::ptrdiff_t>(listed));
+    answer.lists.incomplete = listed == options_.max_listed_ends;
     for (const auto& [key, run] : runs_) {
         answer.lists.runs.push_back(
             {.task = key.first, .run = key.second, .percent = percent(run)});
--- a/scenarios/fakes/fake_guarded_worker.hpp
+++ b/scenarios/fakes/fake_guarded_worker.hpp
@@ -30,7 +30,9 @@
 
     /// Called when the worker removes an ended run from its list because the caller has
     /// acknowledged that it is stored.
-    virtual void end_acknowledged(const workload::ended_run& end) = 0;
+    ///
+    /// @param lease_lapsed whether the worker's lease has lapsed since the run ended
+    virtual void end_acknowledged(const workload::ended_run& end, bool lease_lapsed) = 0;
 
     /// Called when a start makes the runs of a worker need more resources than it has announced.
     virtual void over_capacity(const workload::worker_instance& instance) = 0;
@@ -51,6 +53,8 @@
         duration restart_time = std::chrono::seconds{3};
         /// Time for which a start may still rely on the capacity before it shrank.
         duration capacity_notice = std::chrono::milliseconds{3700};
+        /// Ended runs that one reply lists at most, the oldest first.
+        std::size_t max_listed_ends = 500;
         /// Returns how long after its start a run of the task crashes the worker, if it does.
         std::function<std::optional<duration>(const workload::task_name&)> crash_delay;
     };
@@ -130,6 +134,8 @@
     std::map<workload::task_name, workload::run_number> highest_ended_;
     std::vector<workload::ended_run> ends_;
     std::uint64_t last_end_sequence_ = 0;
+    // The latest end before the lease lapsed.
+    std::uint64_t last_end_before_lapse_ = 0;
 };
 
 /// A guard's connection to its worker. No callback runs after its destruction.
--- a/src/baobabrack/workload/guarded_runs.cpp
+++ b/src/baobabrack/workload/guarded_runs.cpp
@@ -25,7 +25,7 @@
 }
 
 bool guarded_runs::is_unknown(const run_key& key) const {
-    return !may_have(key) && !has_ended(key) && !refusals_.contains(key);
+    return !may_have(key) && !may_have_ended(key) && !refusals_.contains(key);
 }
 
 bool guarded_runs::fits(const resources& needs, const resources& capacity) const {
@@ -71,6 +71,12 @@
     start.accepted = accepted;
 }
 
+void guarded_runs::set_outdated(const run_key& key, std::uint64_t renewal) {
+    auto& start = starts_.at(key);
+    start.deciding_renewal = renewal;
+    start.outdated = true;
+}
+
 void guarded_runs::record_refusal(const run_key& key, std::string reason) {
     starts_.erase(key);
     refusals_[key] = {.reason = std::move(reason), .first_report = 0};
@@ -82,6 +88,7 @@
                          .lost_starts = {}};
     runs_ = lists.runs;
     ends_ = lists.ends;
+    lists_incomplete_ = lists.incomplete;
     std::erase_if(ends_, [&](const ended_run& end) { return end.sequence <= ends_stored; });
     std::erase_if(inherited_, [&](const auto& entry) { return !is_listed(entry.first); });
     lists_known_ = true;
@@ -89,13 +96,14 @@
     std::erase_if(starts_, [&](const auto& entry) {
         const auto& [key, start] = entry;
         const bool decided = start.deciding_renewal > 0 && start.deciding_renewal <= renewal;
-        const bool conclusive = is_listed(key) || has_ended(key) || !lists.more_ends;
+        const bool conclusive = is_listed(key) || has_ended(key) || !lists.incomplete;
         if (!decided || is_listed(key) || !conclusive) {
             return false;
         }
         changes.report_needed = true;
         if (!has_ended(key)) {
-            changes.lost_starts.push_back({.run = start.run, .attempts = start.attempts});
+            changes.lost_starts.push_back(
+                {.run = start.run, .attempts = start.attempts, .outdated = start.outdated});
         }
         return true;
     });
--- a/src/baobabrack/workload/guarded_runs.hpp
+++ b/src/baobabrack/workload/guarded_runs.hpp
@@ -24,6 +24,8 @@
         start_order run;
         /// Number of attempts so far.
         unsigned attempts = 0;
+        /// The worker rejects the run for good, so another attempt is pointless.
+        bool outdated = false;
     };
 
     /// Changes that new run lists have caused.
@@ -47,15 +49,22 @@
     /// @return whether this worker instance has returned lists, even if they are invalid by now
     bool lists_seen() const { return lists_seen_; }
 
+    /// @return whether the worker has runs that its latest lists do not show
+    bool lists_incomplete() const { return lists_incomplete_; }
+
     /// @return whether the worker has the run, or may have it because a start is pending
     bool may_have(const run_key& key) const;
 
-    /// @return whether the run is neither present, ended nor refused, so that it may be started
+    /// @return whether the run is certainly neither present, ended nor refused, so that it may be
+    ///         started
     bool is_unknown(const run_key& key) const;
 
     /// @return whether the worker lists the end of the run
     bool has_ended(const run_key& key) const;
 
+    /// @return whether the run may have ended: its end is listed, or the lists are incomplete
+    bool may_have_ended(const run_key& key) const { return lists_incomplete_ || has_ended(key); }
+
     /// Records what a listed run needs that an earlier guard has started.
     void record_needs(const run_needs& known);
 
@@ -82,6 +91,10 @@
     /// @param accepted whether the worker has accepted the start
     void set_deciding_renewal(const run_key& key, std::uint64_t renewal, bool accepted);
 
+    /// Records that the worker has rejected a start because the run was stopped or has ended there.
+    /// The run lists of this lease renewal, and of any later one, show the end if there is one.
+    void set_outdated(const run_key& key, std::uint64_t renewal);
+
     /// Records that the run was not started and never will be.
     void record_refusal(const run_key& key, std::string reason);
 
@@ -109,6 +122,7 @@
         /// the answer to the start is pending.
         std::uint64_t deciding_renewal = 0;
         bool accepted = false;
+        bool outdated = false;
     };
     struct refusal {
         std::string reason;
@@ -120,6 +134,7 @@
 
     bool lists_known_ = false;
     bool lists_seen_ = false;
+    bool lists_incomplete_ = false;
     std::vector<reported_run> runs_;
     std::vector<ended_run> ends_;
     std::map<run_key, started_run> starts_;
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -59,9 +59,8 @@
 struct run_lists {
     std::vector<reported_run> runs;
     std::vector<ended_run> ends;
-    /// The reply does not hold all ended runs. A run that is missing from both lists may still have
-    /// ended.
-    bool more_ends = false;
+    /// The reply does not show all runs. A run that is missing from both lists may have ended.
+    bool incomplete = false;
 };
 
 /// A run that was refused and will not start any more.
--- a/src/baobabrack/workload/worker_guard.cpp
+++ b/src/baobabrack/workload/worker_guard.cpp
@@ -411,9 +411,20 @@
         lease_.resume(reports_sent_ + 1);
         schedule_report();
     }
+    const bool lists_were_incomplete = runs_.lists_incomplete();
     const auto changes = runs_.apply_lists(number, renewal.lists, ends_stored_);
+    if (runs_.lists_incomplete() != lists_were_incomplete) {
+        log_event(lists_were_incomplete ? log_level::info : log_level::warning,
+                  lists_were_incomplete ? "lists-complete" : "lists-incomplete")
+            .field("worker", facts_->instance.worker.get())
+            .field("running", static_cast<std::uint64_t>(renewal.lists.runs.size()))
+            .field("ends", static_cast<std::uint64_t>(renewal.lists.ends.size()))
+            .field("ends_stored", ends_stored_);
+    }
     for (const auto& lost : changes.lost_starts) {
-        retry_start(lost, "the worker does not have it, and the token is past its start");
+        retry_start(lost, lost.outdated
+                              ? "it was stopped before it started"
+                              : "the worker does not have it, and the token is past its start");
     }
     std::erase_if(stops_sent_, [&](const auto& sent) { return !runs_.may_have(sent.first); });
     // The worker answers again, so stops that failed are retried.
--- a/src/baobabrack/workload/worker_guard_calls.cpp
+++ b/src/baobabrack/workload/worker_guard_calls.cpp
@@ -103,7 +103,7 @@
     check_announcement_age();
     const bool wanted = !stops_sent_.contains(key) && !facts_->draining && !capacity_outdated_ &&
                         runs_.fits(lost.run.needs, facts_->capacity);
-    if (!wanted || lost.attempts >= max_start_attempts ||
+    if (!wanted || lost.outdated || lost.attempts >= max_start_attempts ||
         !send_start(lost.run, lost.attempts + 1)) {
         refuse_start(key, reason);
     }
@@ -135,6 +135,12 @@
             renewal_in_flight_ = false;
             schedule_renewal();
             break;
+        case call_outcome::outdated:
+            // An earlier guard may have started the run, and it may have completed.
+            runs_.set_outdated(key, renewals_sent_ + 1);
+            renewal_in_flight_ = false;
+            schedule_renewal();
+            break;
         case call_outcome::fenced:
             if (const auto lost = runs_.withdraw_start(key)) {
                 increase_token(token_step);
@@ -152,7 +158,7 @@
     const run_key key{run.task, run.run};
     unconfirmed_starts_.erase(key);
     if (!runs_.may_have(key)) {
-        if (runs_.lists_known() && !runs_.has_ended(key)) {
+        if (runs_.lists_known() && !runs_.may_have_ended(key)) {
             refuse_start(key, "it was never started");
         }
         return;
--- a/standin/platform/worker_endpoint.hpp
+++ b/standin/platform/worker_endpoint.hpp
@@ -42,7 +42,7 @@
                      const workload::worker_instance& instance) override;
     void run_ended(const workload::task_name& /*task*/, workload::run_number /*run*/,
                    std::optional<workload::run_outcome> /*outcome*/) override {}
-    void end_acknowledged(const workload::ended_run& /*end*/) override {}
+    void end_acknowledged(const workload::ended_run& /*end*/, bool /*lease_lapsed*/) override {}
     void over_capacity(const workload::worker_instance& /*instance*/) override {}
 
     options options_;
--- a/tests/workload/scheduler_node.tests.cpp
+++ b/tests/workload/scheduler_node.tests.cpp
@@ -184,6 +184,28 @@
     CHECK(cluster.violations.empty());
 }
 
+// A guard that has just started took the ends that its worker did not list for runs that were never
+// started.
+TEST_CASE(
+    "Ends beyond those that a worker lists at a time do not run again after its guard restarts",
+    "[workload]") {
+    const auto delay = GENERATE(850ms, 880ms, 895ms);
+    INFO("the guard is killed " << delay.count() << " ms after the start");
+    simulated_cluster cluster(1, {.hosts = 2, .max_listed_ends = 3});
+    cluster.run_for(2s);
+    REQUIRE(cluster.submit(job_of("j1", 8, 1)));
+    REQUIRE(cluster.run_until([&] { return cluster.runs_started == 8; }, 2s));
+    const auto host = cluster.busy_host();
+    REQUIRE(cluster.worker(host).running() == 8);
+    cluster.run_for(delay);
+    cluster.kill_guard(host);
+    cluster.run_for(800ms);
+    cluster.start_guard(host);
+    CHECK(cluster.run_until([&] { return cluster.completed("j1"); }, 10s));
+    CHECK(cluster.runs_started == 8);
+    CHECK(cluster.violations.empty());
+}
+
 TEST_CASE("Tasks of a silent worker run again after its lease has expired", "[workload]") {
     simulated_cluster cluster(10, {.run_time = 12s});
     // A guard that has just started does not know the lease that its predecessor granted.
--- a/tests/workload/simulated_cluster.cpp
+++ b/tests/workload/simulated_cluster.cpp
@@ -45,6 +45,7 @@
                          .accelerators = accelerator_count{opts.accelerators_per_host}},
             .rack = rack_id{"r" + std::to_string(index / opts.hosts_per_rack)},
             .run_time = opts.run_time,
+            .max_listed_ends = opts.max_listed_ends,
             .crash_delay = [this](const workload::task_name& task) {
                 const auto found = crashing_tasks.find(task);
                 return found == crashing_tasks.end() ? std::nullopt : std::optional{found->second};
@@ -262,6 +263,10 @@
     }
     if (recorded_done_.contains(task)) {
         violations.push_back(run_text + " began after the task was recorded as done");
+    } else {
+        for (const auto ended : ended_done_[task]) {
+            repeated_runs_.emplace(std::pair{task, ended}, run_text);
+        }
     }
     if (!submitted_.contains(task.step.job)) {
         violations.push_back(run_text + " began although its job was not submitted");
@@ -272,13 +277,23 @@
 void simulated_cluster::run_ended(const workload::task_name& task, workload::run_number run,
                                   std::optional<workload::run_outcome> how) {
     crashes_under[task] += how ? 0U : 1U;
+    if (how == workload::run_outcome::done) {
+        ended_done_[task].insert(run);
+    }
     running_[task].erase(run);
 }
 
-void simulated_cluster::end_acknowledged(const workload::ended_run& end) {
-    if (end.outcome == workload::run_outcome::done) {
-        recorded_done_.insert(end.task);
+void simulated_cluster::end_acknowledged(const workload::ended_run& end, bool lease_lapsed) {
+    if (end.outcome != workload::run_outcome::done) {
+        return;
+    }
+    recorded_done_.insert(end.task);
+    const auto [first, last] = repeated_runs_.equal_range({end.task, end.run});
+    for (auto repeated = first; repeated != last && !lease_lapsed; ++repeated) {
+        violations.push_back(repeated->second +
+                             " began after an end as done that was recorded later");
     }
+    repeated_runs_.erase(first, last);
 }
 
 void simulated_cluster::over_capacity(const workload::worker_instance& where) {
--- a/tests/workload/simulated_cluster.hpp
+++ b/tests/workload/simulated_cluster.hpp
@@ -36,8 +36,9 @@
 };
 
 /// Simulates schedulers, guards and workers in virtual time and checks these invariants: no task
-/// has two runs at once, no run of a task begins after the task was recorded as done, no worker
-/// exceeds its capacity, and nothing runs that was not submitted.
+/// has two runs at once, no run of a task begins after another one has ended as done if that end is
+/// recorded then or later (later only while the worker's lease lasts), no worker exceeds its
+/// capacity, and nothing runs that was not submitted.
 class simulated_cluster : public fakes::run_listener {
 public:
     struct options {
@@ -46,6 +47,7 @@
         unsigned hosts_per_rack = 2;
         std::uint32_t accelerators_per_host = 8;
         duration run_time = std::chrono::milliseconds{900};
+        std::size_t max_listed_ends = 500;
     };
 
     simulated_cluster(std::uint64_t seed, options opts);
@@ -132,7 +134,7 @@
                      const workload::worker_instance& where) override;
     void run_ended(const workload::task_name& task, workload::run_number run,
                    std::optional<workload::run_outcome> how) override;
-    void end_acknowledged(const workload::ended_run& end) override;
+    void end_acknowledged(const workload::ended_run& end, bool lease_lapsed) override;
     void over_capacity(const workload::worker_instance& where) override;
 
 private:
@@ -160,7 +162,12 @@
     std::vector<host_process> hosts_;
     std::uint64_t last_incarnation_ = 1;
     std::map<workload::task_name, std::set<workload::run_number>> running_;
+    // The runs of each task that have ended as done.
+    std::map<workload::task_name, std::set<workload::run_number>> ended_done_;
+    // Tasks with such an end that was recorded.
     std::set<workload::task_name> recorded_done_;
+    // Runs that began after another run of their task had ended as done, by that other run.
+    std::multimap<std::pair<workload::task_name, workload::run_number>, std::string> repeated_runs_;
     std::set<job_id> submitted_;
 };
 
--- a/tests/workload/worker_guard.tests.cpp
+++ b/tests/workload/worker_guard.tests.cpp
@@ -252,12 +252,62 @@
     fixture.order(start_of(wanted()), 1);
     fixture.worker.starts[0].answer({.outcome = call_outcome::unanswered});
     fixture.loop.run_for(5ms);
-    fixture.answer_renewal({.runs = {}, .ends = {}, .more_ends = true}, 1100);
+    fixture.answer_renewal({.runs = {}, .ends = {}, .incomplete = true}, 1100);
     CHECK(fixture.worker.starts.size() == 1);
     CHECK(fixture.newest_report.refusals().empty());
     CHECK(fixture.newest_report.runs_size() == 1);
 }
 
+// Its start was sent by an earlier guard, and the run may have completed since.
+TEST_CASE("A run is neither started nor refused while the list of ends is incomplete", "[guard]") {
+    guard_fixture fixture;
+    fixture.announce(1, 1000);
+    fixture.order({}, 1);
+    fixture.answer_renewal({.runs = {}, .ends = {}, .incomplete = true}, 1010);
+    SECTION("start") {
+        fixture.order(start_of(wanted()), 1);
+    }
+    SECTION("stop") {
+        worker_orders orders;
+        orders.stops.push_back({.task = task, .run = run_number{1}});
+        fixture.order(orders, 1);
+    }
+    CHECK(fixture.worker.starts.empty());
+    CHECK(fixture.newest_report.refusals().empty());
+    fixture.answer_renewal({}, 1020);
+    fixture.order(start_of(wanted()), 1);
+    CHECK(fixture.worker.starts.size() == 1);
+}
+
+// The worker also rejects the start of a run that has completed, which an earlier guard started.
+TEST_CASE("A start that the worker calls outdated is refused only if no end is listed", "[guard]") {
+    guard_fixture fixture;
+    fixture.announce(1, 1000);
+    fixture.order({}, 1);
+    fixture.answer_renewal({}, 1010);
+    fixture.order(start_of(wanted()), 1);
+    fixture.worker.starts.at(0).answer(
+        {.outcome = call_outcome::outdated, .clock = worker_time{1050}});
+    fixture.loop.run_for(5ms);
+    CHECK(fixture.newest_report.refusals().empty());
+    SECTION("an end is listed") {
+        fixture.answer_renewal({.runs = {},
+                                .ends = {{.sequence = 1,
+                                          .task = task,
+                                          .run = run_number{1},
+                                          .outcome = run_outcome::done,
+                                          .checkpoint = ""}}},
+                               1100);
+        CHECK(fixture.newest_report.refusals().empty());
+        CHECK(fixture.newest_report.ends_size() == 1);
+    }
+    SECTION("no end is listed") {
+        fixture.answer_renewal({}, 1100);
+        CHECK(fixture.newest_report.refusals_size() == 1);
+    }
+    CHECK(fixture.worker.starts.size() == 1);
+}
+
 TEST_CASE("An unanswered start that the run lists show counts as a run", "[guard]") {
     guard_fixture fixture;
     fixture.announce(1, 1000);
