Do not read a worker's undecodable list as empty

Cause: the answer to a lease renewal whose body is not JSON was read as empty lists, and rows that could not be decoded were skipped. A run that goes on was then missing from both lists, and a stop of it was answered with 'it was never started', after which the task runs again beside it. Found on a path related to the incomplete list of ends; no caller is known to have seen it.

Change: such a body counts as unanswered; an undecodable row makes the lists incomplete, so that nothing is concluded from a run's absence.

--- a/src/baobabrack/workload/guarded_runs.hpp
+++ b/src/baobabrack/workload/guarded_runs.hpp
@@ -62,7 +62,8 @@
     /// @return whether the worker lists the end of the run
     bool has_ended(const run_key& key) const;
 
-    /// @return whether the run may have ended: its end is listed, or the lists are incomplete
+    /// @return whether the run has ended or, since the lists are incomplete, may have started or
+    ///         ended unnoticed
     bool may_have_ended(const run_key& key) const { return lists_incomplete_ || has_ended(key); }
 
     /// Records what a listed run needs that an earlier guard has started.
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -59,7 +59,8 @@
 struct run_lists {
     std::vector<reported_run> runs;
     std::vector<ended_run> ends;
-    /// The reply does not show all runs. A run that is missing from both lists may have ended.
+    /// The reply does not show all runs, or not all could be decoded. A run that is missing from
+    /// both lists may be active or may have ended.
     bool incomplete = false;
 };
 
--- a/tests/adapter/decoders.tests.cpp
+++ b/tests/adapter/decoders.tests.cpp
@@ -90,6 +90,21 @@
     CHECK(renewal.lists.ends[0].outcome == workload::run_outcome::done);
 }
 
+// A list that was read as shorter or empty made the guard say of a run that it was never started.
+TEST_CASE("Lists that cannot be decoded whole are incomplete or count as no answer", "[adapter]") {
+    const auto decode = [](const std::string& body) {
+        return platform::decode_renew_reply(answer(200, body), incarnation{3});
+    };
+    CHECK_FALSE(decode(R"({"ClockMs":9,"born":3,"Running":[],"Finished":[]})").lists.incomplete);
+    CHECK(decode(R"({"ClockMs":9,"born":3,"Running":[["j.0.1.17",-2,"c",41]]})").lists.incomplete);
+    CHECK(decode(R"({"ClockMs":9,"born":3,"Finished":[[58,"j",1,"done",""]]})").lists.incomplete);
+    CHECK(decode(R"({"ClockMs":9,"born":3,"Running":7})").lists.incomplete);
+    CHECK(decode(R"({"ClockMs":9,"Running":[["j.0.1.17")").reply.outcome ==
+          workload::call_outcome::unanswered);
+    CHECK(decode("[]").reply.outcome == workload::call_outcome::unanswered);
+    CHECK(decode("").reply.outcome == workload::call_outcome::unanswered);
+}
+
 TEST_CASE("Lists of another worker instance are rejected", "[adapter]") {
     const auto renewal = platform::decode_renew_reply(answer(200, R"({"born":4})"), incarnation{3});
     CHECK(renewal.reply.outcome == workload::call_outcome::other_worker);
