Excuse only the first crash under a task for younger runs beside it

Cause: a crash was excused whenever a younger run on the worker was suspected. Beside a stream of short jobs there always is one, so no crash counted, and the limit on all crashes applies only once three count. The line run-crashed shows 'excused 2' to 'excused 12' with 'crashes 0' under one leader, which rules out that the count was lost.

Change: only the first crash under a task is excused so. From the second on it counts and the next run is a trial, which also gets a sound run away from the tasks that crash its workers.

--- a/scenarios/fakes/fake_guarded_worker.hpp
+++ b/scenarios/fakes/fake_guarded_worker.hpp
@@ -57,6 +57,8 @@
         std::size_t max_listed_ends = 500;
         /// Returns how long after its start a run of the task crashes the worker, if it does.
         std::function<std::optional<duration>(const workload::task_name&)> crash_delay;
+        /// Returns how long a run of the task takes, if not as long as the others.
+        std::function<std::optional<duration>(const workload::task_name&)> run_time_of;
     };
     struct faults {
         /// Share of the calls that time out and are carried out up to six seconds later.
@@ -105,6 +107,7 @@
     using run_key = std::pair<workload::task_name, workload::run_number>;
     struct active_run {
         resources needs;
+        duration run_time{};
         time_point started_at{};
         bool stopping = false;
     };
@@ -116,6 +119,7 @@
     void extend_lease(const std::optional<workload::worker_time>& lease);
     void check_lease();
     void end_run(const run_key& key, workload::run_outcome outcome, std::uint64_t version);
+    duration run_time(const workload::task_name& task) const;
     std::uint32_t percent(const active_run& run) const;
     bool is_over_capacity() const;
     void crash_if_task_does(const run_key& key);
--- a/src/baobabrack/workload/crash_record.cpp
+++ b/src/baobabrack/workload/crash_record.cpp
@@ -68,6 +68,15 @@
     --record.excused_crashes;
 }
 
+bool excuse_crash(crash_record& record, const crashed_run& run, const crash_circumstances& crash) {
+    if (record.crashes + record.excused_crashes > 1) {
+        return false;
+    }
+    record.last_host = crash.host;
+    record.last_run_time = run.run_time;
+    return true;
+}
+
 void count_crash(crash_record& record, const crashed_run& run, bool suspect,
                  const crash_circumstances& crash) {
     --record.excused_crashes;
@@ -89,7 +98,9 @@
             record.on_several_hosts || (same_run_time && record.last_host != crash.host);
     }
     const bool young = run.on_trial || !settled;
-    const bool again = record.crashes >= crashes_until_trial && (young || same_run_time);
+    const bool settled_beside_suspects = !suspect && settled;
+    const bool again = settled_beside_suspects ||
+                       (record.crashes >= crashes_until_trial && (young || same_run_time));
     record.last_host = crash.host;
     record.last_run_time = run.begun ? run.run_time : record.last_run_time;
     record.other_causes = record.other_causes || crash.other_causes;
--- a/src/baobabrack/workload/crash_record.hpp
+++ b/src/baobabrack/workload/crash_record.hpp
@@ -89,9 +89,17 @@
 /// Forgets a crash that has been noted, since the run had not been started.
 void forget_crash(crash_record& record);
 
+/// Excuses a crash that has been noted, since other runs on the worker are suspected. How long the
+/// run had lasted is remembered. Only the first crash under a task is excused so: a task that
+/// crashes its workers late always has younger runs beside it.
+///
+/// @return false if the crash cannot be excused and has to be counted
+bool excuse_crash(crash_record& record, const crashed_run& run, const crash_circumstances& crash);
+
 /// Counts a crash that has been noted. Orders a trial for a suspect whose run was young unless it
-/// is long-running, for a task to which this has happened before, if its run was young or had
-/// lasted as long then, and after the second early crash, whatever else crashed.
+/// is long-running, for a task to which this has happened before, if its run was young, had lasted
+/// as long then or had settled beside suspects, and after the second early crash, whatever else
+/// crashed.
 void count_crash(crash_record& record, const crashed_run& run, bool suspect,
                  const crash_circumstances& crash);
 
--- a/src/baobabrack/workload/scheduler_crashes.cpp
+++ b/src/baobabrack/workload/scheduler_crashes.cpp
@@ -250,14 +250,16 @@
     if (is_power_lost(lost.when)) {
         return "excused, nearly all workers were down";
     }
-    if (lost.crash.scope == crash_scope::single && !lost.suspect && is_settled(lost.run.run_time)) {
+    const bool younger_suspected =
+        lost.crash.scope == crash_scope::single && !lost.suspect && is_settled(lost.run.run_time);
+    if (younger_suspected && excuse_crash(record, lost.run, lost.crash)) {
         return "excused, younger runs on the worker are suspected";
     }
     count_crash(record, lost.run, lost.suspect, lost.crash);
     if (lost.suspect || record.trial > duration::zero()) {
         ref.job->quick_failures[lost.crash.host] = now;
     }
-    return "counted";
+    return younger_suspected ? "counted, not the first crash under the task" : "counted";
 }
 
 }  // namespace baobabrack::workload
--- a/tests/workload/crash_record.tests.cpp
+++ b/tests/workload/crash_record.tests.cpp
@@ -144,6 +144,37 @@
     CHECK(crashes_workers(record));
 }
 
+// A task that crashes its workers late always has younger runs beside it.
+TEST_CASE("Only the first crash under a task is excused because younger runs are suspected",
+          "[crash_record]") {
+    crash_record record;
+    note_crash(record);
+    REQUIRE(excuse_crash(record, {.run_time = 3s}, on("h1")));
+    CHECK(record.trial == duration::zero());
+    note_crash(record);
+    REQUIRE_FALSE(excuse_crash(record, {.run_time = 3s}, on("h2")));
+    count_crash(record, {.run_time = 3s}, false, on("h2"));
+    CHECK(record.trial > 3s);
+    record_crash(record, trial_run(3s), true, on("h3"));
+    CHECK_FALSE(crashes_workers(record));
+    record_crash(record, trial_run(3s), true, on("h4"));
+    CHECK(crashes_workers(record));
+}
+
+TEST_CASE("A task is given up at its fifth crash although younger runs were beside it each time",
+          "[crash_record]") {
+    crash_record record;
+    for (int crash = 1; crash <= 5; ++crash) {
+        CHECK_FALSE(crashes_workers(record));
+        const crashed_run run{.run_time = std::chrono::seconds{2 + crash * 3}};
+        note_crash(record);
+        if (!excuse_crash(record, run, on("h"))) {
+            count_crash(record, run, false, on("h"));
+        }
+    }
+    CHECK(crashes_workers(record));
+}
+
 TEST_CASE("A run that lasts long enough outlives the record", "[crash_record]") {
     crash_record record;
     record_crash(record, {.run_time = 0ms}, true, on("h1"));
--- a/tests/workload/crashing_tasks.tests.cpp
+++ b/tests/workload/crashing_tasks.tests.cpp
@@ -144,6 +144,29 @@
     CHECK(cluster.violations.empty());
 }
 
+// Each crash was excused because of the young runs beside the task.
+TEST_CASE("A task that crashes its workers late is given up beside a stream of short jobs",
+          "[workload][crashes]") {
+    const auto delay = GENERATE(1500ms, 2000ms, 3000ms, 6000ms);
+    INFO("crash " << delay.count() << " ms after the start");
+    crashing_cluster cluster(delay, 1, 800ms);
+    cluster.run_times[crashing_task] = 90s;
+    auto job = long_job("crashing", 1, 1);
+    job.steps.front().estimated = 90s;
+    // The run times of the short jobs say nothing about this one.
+    auto queue = cluster.config.config.queues.front();
+    queue.id = job.queue = workload::queue_id{"long"};
+    cluster.config.config.queues.push_back(queue);
+    REQUIRE(cluster.submit(job));
+    for (int number = 0; number < 200 && !cluster.given_up(); ++number) {
+        REQUIRE(cluster.submit(job_of("short-" + std::to_string(number), 1, 1)));
+        cluster.run_for(350ms);
+    }
+    CHECK(cluster.given_up());
+    CHECK(cluster.runs_of[crashing_task] <= max_starts);
+    CHECK(cluster.violations.empty());
+}
+
 TEST_CASE("Crashes under a task are counted across new leaders", "[workload][crashes]") {
     crashing_cluster cluster(10ms);
     REQUIRE(cluster.submit(long_job("crashing", 1, 1)));
--- a/tests/workload/simulated_cluster.hpp
+++ b/tests/workload/simulated_cluster.hpp
@@ -122,6 +122,9 @@
     /// How long after its start a run of each of these tasks crashes its worker.
     std::map<workload::task_name, duration> crashing_tasks;
 
+    /// How long the runs of these tasks take instead of the cluster's usual run time.
+    std::map<workload::task_name, duration> run_times;
+
     /// Crashes of workers while they had a run of the task.
     std::map<workload::task_name, unsigned> crashes_under;
 
