Keep the record of crashes until a run has outlived the latest one

Change: the run must also have lasted longer than at the latest crash. Tasks of long-running steps keep the plain limit.

Both new cases: 'A task that crashes its workers after more than 30 s is given up' fails before; all of test_workload passes with it.

--- a/src/baobabrack/workload/crash_record.cpp
+++ b/src/baobabrack/workload/crash_record.cpp
@@ -118,8 +118,9 @@
            too_many;
 }
 
-bool outlives_record(const crash_record& record, duration run_time) {
-    return run_time >= std::max(record_lifetime, record.trial);
+bool outlives_record(const crash_record& record, duration run_time, bool long_running) {
+    const auto last_crash = long_running ? duration::zero() : record.last_run_time + settle_time;
+    return run_time >= std::max({record_lifetime, record.trial, last_crash});
 }
 
 }  // namespace baobabrack::workload
--- a/src/baobabrack/workload/crash_record.hpp
+++ b/src/baobabrack/workload/crash_record.hpp
@@ -107,8 +107,10 @@
 ///         many workers have crashed under it that another start is not justified
 bool crashes_workers(const crash_record& record);
 
-/// @return whether a run has lasted so long that the record no longer applies
-bool outlives_record(const crash_record& record, duration run_time);
+/// @param long_running whether the task serves as long as it runs
+/// @return whether a run has lasted so long that the record no longer applies: a task that causes
+///         crashes does not last longer than it did at the latest one
+bool outlives_record(const crash_record& record, duration run_time, bool long_running);
 
 }  // namespace baobabrack::workload
 
--- a/src/baobabrack/workload/scheduler_trials.cpp
+++ b/src/baobabrack/workload/scheduler_trials.cpp
@@ -126,7 +126,7 @@
         add_decision_event("trial-passed", name, ref.task->run, ref.task->place.host,
                            "the run has lasted for " + to_ms_text(run_time));
     }
-    if (outlives_record(record, run_time)) {
+    if (outlives_record(record, run_time, ref.step->long_running)) {
         record = {};
         ref.job->dirty = true;
     }
--- a/tests/workload/crash_record.tests.cpp
+++ b/tests/workload/crash_record.tests.cpp
@@ -178,8 +178,18 @@
 TEST_CASE("A run that lasts long enough outlives the record", "[crash_record]") {
     crash_record record;
     record_crash(record, {.run_time = 0ms}, true, on("h1"));
-    CHECK_FALSE(outlives_record(record, 20s));
-    CHECK(outlives_record(record, 40s));
+    CHECK_FALSE(outlives_record(record, 20s, false));
+    CHECK(outlives_record(record, 40s, false));
+}
+
+TEST_CASE("A run outlives the record only once it has lasted longer than at the latest crash",
+          "[crash_record]") {
+    crash_record record;
+    record_crash(record, {.run_time = 50s}, true, on("h1"));
+    CHECK_FALSE(outlives_record(record, 50s, false));
+    CHECK(outlives_record(record, 60s, false));
+    // Crashes under a task that serves for days come by chance.
+    CHECK(outlives_record(record, 50s, true));
 }
 
 TEST_CASE("The record of crashes is stored with the progress of the job", "[crash_record]") {
--- a/tests/workload/crashing_tasks.tests.cpp
+++ b/tests/workload/crashing_tasks.tests.cpp
@@ -167,6 +167,18 @@
     CHECK(cluster.violations.empty());
 }
 
+// The record of earlier crashes was dropped once the run had lasted for 30 s.
+TEST_CASE("A task that crashes its workers after more than 30 s is given up",
+          "[workload][crashes]") {
+    crashing_cluster cluster(40s, 1, 90s);
+    auto job = long_job("crashing", 1, 1);
+    job.steps.front().estimated = 90s;
+    REQUIRE(cluster.submit(job));
+    CHECK(cluster.run_until([&] { return cluster.given_up(); }, 400s));
+    CHECK(cluster.runs_of[crashing_task] <= max_starts);
+    CHECK(cluster.violations.empty());
+}
+
 TEST_CASE("Crashes under a task are counted across new leaders", "[workload][crashes]") {
     crashing_cluster cluster(10ms);
     REQUIRE(cluster.submit(long_job("crashing", 1, 1)));
