Look up positions of workers in the placement pass that they belong to

Cause: the position of a worker among the candidates was kept with the worker, and the pass of a second service cleared it. A guaranteed job that was placed after a group of another service then found no run to preempt and waited. Found by reading; no caller is known to have seen it.

Change: each use looks positions up among the candidates of its own pass.

The new case of scheduler fails in two checks without the change; all of test_workload passes with it.

--- a/src/baobabrack/workload/scheduler_capacity.cpp
+++ b/src/baobabrack/workload/scheduler_capacity.cpp
@@ -1,5 +1,6 @@
 // Capacity for groups that do not fit now: forecast of free capacity, and preemption.
 #include <algorithm>
+#include <unordered_map>
 
 #include "baobabrack/units/seconds.hpp"
 #include "baobabrack/workload/scheduler.hpp"
@@ -21,6 +22,25 @@
 // has to run again, and delays work that waits behind it.
 constexpr double max_loss_ratio = 0.5;
 
+/// Finds the position of a worker among the candidates of one placement pass.
+class candidate_positions {
+public:
+    explicit candidate_positions(const candidates& hosts) {
+        for (std::size_t at = 0; at < hosts.size(); ++at) {
+            positions_.emplace(hosts[at].facts, at);
+        }
+    }
+
+    /// @param worker may be null
+    std::optional<std::size_t> find(const worker_state* worker) const {
+        const auto found = worker == nullptr ? positions_.end() : positions_.find(&worker->facts);
+        return found == positions_.end() ? std::nullopt : std::optional{found->second};
+    }
+
+private:
+    std::unordered_map<const worker_facts*, std::size_t> positions_;
+};
+
 }  // namespace
 
 time_point scheduler::expected_end(const task_ref& ref, time_point now) const {
@@ -40,22 +60,13 @@
 
 capacity_forecast scheduler::forecast_capacity(const service_id& service, time_point now) {
     auto left = find_candidates(service, now);
-    for (auto& [host, worker] : workers_.all()) {
-        worker.candidate_index = no_candidate_index;
-    }
-    for (std::size_t at = 0; at < left.size(); ++at) {
-        workers_.find_or_add(left[at].facts->instance.host).candidate_index = at;
-    }
+    const candidate_positions positions(left);
     std::vector<expected_release> releases;
     for (auto& [id, job] : jobs_) {
-        if (job.spec.service != service) {
-            continue;
-        }
         for_each_task(job, [&](const task_ref& ref) {
-            const auto* worker = ref.state->worker;
-            if (worker != nullptr && worker->candidate_index != no_candidate_index) {
+            if (const auto position = positions.find(ref.state->worker)) {
                 releases.push_back({.time = expected_end(ref, now),
-                                    .host_index = worker->candidate_index,
+                                    .host_index = *position,
                                     .amount = ref.step->per_task,
                                     .stopping = ref.state->stopping});
             }
@@ -110,22 +121,22 @@
     if (!added) {
         return victims;
     }
+    const candidate_positions positions(pass.forecast.available());
     for (auto& [id, job] : jobs_) {
-        if (job.spec.priority <= priority || job.spec.service != waiting.job->spec.service) {
+        if (job.spec.priority <= priority) {
             continue;
         }
         std::map<std::pair<std::uint32_t, std::uint32_t>, victim> gangs;
         for_each_task(job, [&](const task_ref& ref) {
-            const auto* worker = ref.state->worker;
-            if (worker == nullptr || worker->candidate_index == no_candidate_index ||
-                pass.forecast.available()[worker->candidate_index].closed || ref.state->stopping) {
+            const auto position = positions.find(ref.state->worker);
+            if (!position || pass.forecast.available()[*position].closed || ref.state->stopping) {
                 return;
             }
             victim single;
             auto& into =
                 ref.step->gang ? gangs[std::pair{ref.occurrence, ref.step_number}] : single;
             into.tasks.push_back(name_of(ref));
-            into.allocations.emplace_back(worker->candidate_index, ref.step->per_task);
+            into.allocations.emplace_back(*position, ref.step->per_task);
             const auto elapsed = to_seconds(pass.now - ref.state->assigned_at);
             const auto unsaved_work =
                 ref.step->checkpoints ? std::min(elapsed, checkpoint_loss) : elapsed;
--- a/src/baobabrack/workload/worker_table.hpp
+++ b/src/baobabrack/workload/worker_table.hpp
@@ -104,9 +104,6 @@
 /// one may have waited for as long.
 constexpr duration max_list_age = std::chrono::milliseconds{1200};
 
-/// Index of a worker that is not a candidate.
-constexpr auto no_candidate_index = static_cast<std::size_t>(-1);
-
 /// The leader's state of a worker.
 struct worker_state {
     worker_facts facts;
@@ -140,8 +137,6 @@
     bool expired = false;
     /// Whether the worker has orphaned runs, whose resources are not included in `used`.
     bool has_orphaned_runs = false;
-    /// Index among the candidates of the current placement pass.
-    std::size_t candidate_index = no_candidate_index;
 };
 
 /// The workers, one per host.
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -26,11 +26,12 @@
     wall_time wall_now{1'000'000s};
     std::map<std::string, worker_report> reports;
 
-    void add_worker(const std::string& host, const std::string& rack = "r1") {
+    void add_worker(const std::string& host, const std::string& rack = "r1",
+                    const std::string& service = "service") {
         worker_report report;
         report.facts.instance = {
             .host = host_id{host}, .worker = worker_id{"w-" + host}, .version = incarnation{1}};
-        report.facts.service = service_id{"service"};
+        report.facts.service = service_id{service};
         report.facts.rack = rack_id{rack};
         report.facts.capacity = {.cpu = cpu_millicores{64'000},
                                  .memory = memory_mib{64'000},
@@ -247,6 +248,31 @@
 }
 
 // The run could end at any moment, so each pass expected that it was about to.
+// The positions of a service's workers were overwritten by those of the service placed after it.
+TEST_CASE("A guaranteed job preempts although a group of another service is placed before it",
+          "[scheduler]") {
+    scheduler_fixture fixture;
+    fixture.add_worker("a1");
+    fixture.add_worker("b1", "r2", "other");
+    auto low = job_of("low", 1, 7);
+    low.steps.front().estimated = 60s;
+    fixture.submit(low);
+    fixture.run_pass();
+    REQUIRE(fixture.run_count("a1") == 1);
+    fixture.submit(urgent_job("fits", 1, 1));
+    auto other = urgent_job("other", 1, 2);
+    other.service = service_id{"other"};
+    fixture.submit(other);
+    fixture.submit(urgent_job("preempts", 1, 5));
+    fixture.run_pass();
+    CHECK(fixture.run_count("a1", "fits") == 1);
+    CHECK(fixture.run_count("b1", "other") == 1);
+    fixture.run_pass();
+    fixture.run_pass();
+    CHECK(fixture.run_count("a1", "low") == 0);
+    CHECK(fixture.run_count("a1", "preempts") == 1);
+}
+
 TEST_CASE("A guaranteed job does not wait for a run that is past its expected end", "[scheduler]") {
     scheduler_fixture fixture;
     fixture.add_worker("h1");
