Let accepted jobs follow their queue to another service

Cause: the queue's service was copied into the stored job at submission, and placement read only the copy. A job accepted after the change ran at once, which rules out that the new workers were unsuitable.

Change: the leader reads the service from the configuration in force. The service of acceptance is kept if the queue was removed, if the leader's configuration is older than the one the job was accepted under, or if only that service has a worker with the label and the room. Event job-rerouted.

The new case of scheduler has five sections; without the change the first fails. All of test_workload passes.

--- a/src/baobabrack/workload/job_frontend.cpp
+++ b/src/baobabrack/workload/job_frontend.cpp
@@ -104,6 +104,7 @@
     }
     route found;
     found.queue = queue;
+    found.config = config->version;
     found.path_suffix = request.path.substr(queue->path_prefix.size());
     if (const auto* workspace = config->find_workspace_by_key(request.key)) {
         found.workspace = workspace->id;
@@ -133,6 +134,7 @@
     spec.queue = to.queue->id;
     spec.workspace = to.workspace;
     spec.service = to.queue->service;
+    spec.config = to.config;
     spec.priority = to.queue->priority;
     spec.most_attempts = to.queue->max_attempts;
     spec.slack_factor = to.queue->slack_factor;
--- a/src/baobabrack/workload/job_frontend.hpp
+++ b/src/baobabrack/workload/job_frontend.hpp
@@ -67,6 +67,7 @@
     struct route {
         frontend_reply refusal;
         const queue_config* queue = nullptr;
+        config_version config;
         workspace_id workspace;
         std::string path_suffix;
     };
--- a/src/baobabrack/workload/job_spec.cpp
+++ b/src/baobabrack/workload/job_spec.cpp
@@ -114,6 +114,7 @@
         .queue = queue_id{record.queue()},
         .workspace = workspace_id{record.workspace()},
         .service = service_id{record.service()},
+        .config = config_version{record.config_version()},
         .priority = record.priority(),
         .most_attempts = record.most_attempts(),
         .slack_factor = record.slack_factor(),
@@ -140,6 +141,7 @@
     record.set_queue(spec.queue.get());
     record.set_workspace(spec.workspace.get());
     record.set_service(spec.service.get());
+    record.set_config_version(spec.config.get());
     record.set_priority(spec.priority);
     record.set_most_attempts(spec.most_attempts);
     record.set_slack_factor(spec.slack_factor);
--- a/src/baobabrack/workload/job_spec.hpp
+++ b/src/baobabrack/workload/job_spec.hpp
@@ -38,12 +38,16 @@
     bool long_running = false;
 };
 
-/// A submitted job, with the service level of its queue at the time of submission.
+/// A submitted job, with the service level of its queue at the time of submission. Service levels
+/// are promises, so a later configuration does not change them.
 struct job_spec {
     job_id id;
     queue_id queue;
     workspace_id workspace;
+    /// The service of the queue when the job was submitted; see `scheduler::update_service`.
     service_id service;
+    /// The configuration that says so.
+    config_version config;
     /// Zero is the highest priority.
     std::uint32_t priority = 0;
     std::uint32_t most_attempts = 1;
--- a/src/baobabrack/workload/names.hpp
+++ b/src/baobabrack/workload/names.hpp
@@ -16,6 +16,7 @@
 using host_id = strong_type<struct host_tag, std::string>;
 using queue_id = strong_type<struct queue_tag, std::string>;
 using label = strong_type<struct label_tag, std::string>;
+using config_version = strong_type<struct config_version_tag, std::uint64_t>;
 
 /// Number of a run of a task, starting at 1; zero means no run.
 using run_number = strong_type<struct run_tag, std::uint32_t>;
--- a/src/baobabrack/workload/placement.cpp
+++ b/src/baobabrack/workload/placement.cpp
@@ -149,6 +149,10 @@
             .excess = remaining_resources(used, facts.capacity)};
 }
 
+bool can_host(const worker_facts& facts, const step_spec& step) {
+    return has_label(facts, step.required_label) && facts.capacity.can_fit(step.per_task);
+}
+
 void release(candidate& host, const resources& amount) {
     const auto excess = remaining_resources(host.excess, amount);
     const auto absorbed = remaining_resources(host.excess, excess);
--- a/src/baobabrack/workload/placement.hpp
+++ b/src/baobabrack/workload/placement.hpp
@@ -28,6 +28,9 @@
 /// @param used resources of all runs on the worker
 candidate make_candidate(const worker_facts& facts, const resources& used);
 
+/// @return whether the worker, if it were idle, would have room for a task of the step
+bool can_host(const worker_facts& facts, const step_spec& step);
+
 /// Returns resources of a run that ends to its host: they reduce the excess first.
 void release(candidate& host, const resources& amount);
 
--- a/src/baobabrack/workload/scheduler.cpp
+++ b/src/baobabrack/workload/scheduler.cpp
@@ -97,6 +97,8 @@
             steps.emplace_back(tasks.size());
         }
     }
+    job.service = job.spec.service;
+    job.routed_by = job.spec.config;
     capacity_changed_ = true;
     jobs_.emplace(job.spec.id, std::move(job));
 }
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -276,6 +276,9 @@
         job_spec spec;
         /// The estimates that were given with the job, by step.
         std::vector<duration> declared_run_times;
+        /// The service to which the newest configuration sends the queue, and that configuration.
+        service_id service;
+        config_version routed_by;
         job_progress progress;
         bool cancelled = false;
         /// A task has used up its attempts, or crashes workers. The job ends once its running tasks
@@ -402,6 +405,10 @@
     void stop_broken_gangs(open_job& job);
     bool has_assigned_tasks(const open_job& job) const;
     void finish_job(open_job& job, job_phase phase, wall_time wall_now);
+    void update_services(const workload_config& config);
+    void update_service(open_job& job, const workload_config& config);
+    bool has_worker_for(const step_spec& step, const service_id& service) const;
+    const service_id& service_for(const open_job& job, const step_spec& step) const;
     candidates find_candidates(const service_id& service, time_point now);
     bool placement_due(const workload_config& config, time_point now);
     std::vector<waiting_group> collect_waiting_groups(const workload_config& config, time_point now,
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -75,6 +75,7 @@
         return;
     }
     correct_run_times();
+    update_services(*config);
     auto groups = collect_waiting_groups(*config, now, wall_now);
     place_groups(groups, now);
 }
@@ -236,6 +237,47 @@
                        {}, phase == job_phase::failed ? job.failure_reason : "");
 }
 
+void scheduler::update_services(const workload_config& config) {
+    for (auto& [id, job] : jobs_) {
+        if (job.routed_by < config.version) {
+            update_service(job, config);
+        }
+    }
+}
+
+// A job that has been accepted follows its queue to another service. If its queue has been removed,
+// it stays where it is.
+void scheduler::update_service(open_job& job, const workload_config& config) {
+    job.routed_by = config.version;
+    const auto* queue = config.find_queue(job.spec.queue);
+    if (queue == nullptr || queue->service == job.service) {
+        return;
+    }
+    add_decision_event("job-rerouted", {.step = {.job = job.spec.id}}, {}, {},
+                       "queue " + job.spec.queue.get() + " went from service " + job.service.get() +
+                           " to " + queue->service.get());
+    job.service = queue->service;
+}
+
+// Returns whether a worker of the service would have room for a task of the step if it were idle.
+bool scheduler::has_worker_for(const step_spec& step, const service_id& service) const {
+    const auto& workers = workers_.all();
+    return std::any_of(workers.begin(), workers.end(), [&](const auto& entry) {
+        const auto& worker = entry.second;
+        return worker.facts.service == service && !worker.expired && !worker.facts.draining &&
+               can_host(worker.facts, step);
+    });
+}
+
+// Returns the service whose workers run the step: that of the queue, or the one under which the job
+// was accepted if only that has a suitable worker.
+const service_id& scheduler::service_for(const open_job& job, const step_spec& step) const {
+    const auto& former = job.spec.service;
+    const bool stays =
+        job.service != former && !has_worker_for(step, job.service) && has_worker_for(step, former);
+    return stays ? former : job.service;
+}
+
 candidates scheduler::find_candidates(const service_id& service, time_point now) {
     candidates usable_candidates;
     candidates slow_candidates;
@@ -373,7 +415,7 @@
 void scheduler::place_groups(std::vector<waiting_group>& groups, time_point now) {
     std::map<service_id, placement_pass> passes;
     for (auto& waiting : groups) {
-        const auto& service = waiting.job->spec.service;
+        const auto& service = service_for(*waiting.job, *waiting.group.spec);
         auto found = passes.find(service);
         if (found == passes.end()) {
             found =
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -393,7 +393,7 @@
                      .tasks = {name.index},
                      .tasks_on_host = {},
                      .excluded_hosts = {}};
-    if (place(group, find_candidates(ref.job->spec.service, now), {})) {
+    if (place(group, find_candidates(service_for(*ref.job, *ref.step), now), {})) {
         // Only once: if the run is slow again, its estimate is wrong.
         ref.state->moved = true;
         stop_run(name, ref, "the worker is slow");
--- a/src/baobabrack/workload/workload_config.hpp
+++ b/src/baobabrack/workload/workload_config.hpp
@@ -12,8 +12,6 @@
 
 namespace baobabrack::workload {
 
-using config_version = strong_type<struct config_version_tag, std::uint64_t>;
-
 /// Routing and scheduling settings of a queue.
 struct queue_config {
     queue_id id;
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -231,6 +231,54 @@
     CHECK(fixture.subject.open_jobs() == 1);
 }
 
+// The stored job kept the service of the configuration under which it was accepted.
+TEST_CASE("The next step of an accepted job follows its queue to another service", "[scheduler]") {
+    scheduler_fixture fixture;
+    fixture.add_worker("a1");
+    fixture.add_worker("b1", "r2", "other");
+    fixture.config.version = config_version{3};
+    fixture.config.queues.push_back({.id = queue_id{"queue"}, .service = service_id{"service"}});
+    auto job = job_of("j", 1, 1);
+    job.config = config_version{3};
+    job.steps.push_back(job.steps.front());
+    job.steps.back().after = {0};
+    fixture.submit(job);
+    fixture.run_pass();
+    REQUIRE(fixture.run_count("a1") == 1);
+    auto& queue = fixture.config.queues.front();
+    queue.service = service_id{"other"};
+    auto* expected_host = "b1";
+    SECTION("a newer configuration") {
+        fixture.config.version = config_version{4};
+    }
+    SECTION("the configuration of a scheduler that is behind the one that accepted the job") {
+        fixture.config.version = config_version{2};
+        expected_host = "a1";
+    }
+    SECTION("a newer configuration without the queue") {
+        fixture.config.version = config_version{4};
+        fixture.config.queues.clear();
+        expected_host = "a1";
+    }
+    SECTION("the other service has no suitable worker") {
+        fixture.config.version = config_version{4};
+        fixture.reports["b1"].facts.capacity.accelerators = accelerator_count{0};
+        expected_host = "a1";
+    }
+    SECTION("the queue goes back") {
+        fixture.config.version = config_version{4};
+        fixture.run_pass();
+        fixture.config.version = config_version{5};
+        queue.service = service_id{"service"};
+        expected_host = "a1";
+    }
+    fixture.run_pass();
+    CHECK(fixture.run_count("a1") == 1);
+    fixture.end_all("a1", run_outcome::done);
+    fixture.run_pass();
+    CHECK(fixture.run_count(expected_host) == 1);
+}
+
 // An urgent job within its workspace's guarantee arrives while jobs of lower priority use all
 // capacity.
 TEST_CASE("A guaranteed job preempts lower priorities at once", "[scheduler]") {
