Keep what is meant for one instance of a worker from the next one

Users saw tasks run twice in runs of real processes.

Cause: a call names the worker's id only. Until the new instance was announced, the guard's starts were carried out by it and later taken for lost with the previous instance, and its first ends were acknowledged by the previous instance's numbers.

Change: a renewal that breaks, is not sent or is answered by another instance makes the instance doubtful, and nothing is started, acknowledged or extended until it returns lists; runs that a new instance reports under the current number are adopted; a new instance is called with a higher token. The fake worker, which compared the whole instance, is called by its id as the real one.

--- a/scenarios/fakes/fake_guarded_worker.cpp
+++ b/scenarios/fakes/fake_guarded_worker.cpp
@@ -172,7 +172,7 @@
 }
 
 workload::renew_reply fake_guarded_worker::renew(const workload::worker_port::renew_call& call) {
-    if (call.worker != facts().instance) {
+    if (call.worker.worker != facts().instance.worker) {
         return {.reply = reply(call_outcome::other_worker)};
     }
     if (fenced(call.token)) {
@@ -185,6 +185,10 @@
         }
     }
     std::erase_if(ends_, [&](const auto& end) { return end.sequence <= call.acknowledged_ends; });
+    if (call.worker != facts().instance) {
+        // The caller sees in the reply that the lists are those of another incarnation.
+        return {.reply = reply(call_outcome::other_worker)};
+    }
     workload::renew_reply answer{.reply = reply(call_outcome::accepted), .lists = {}};
     const auto listed = std::min(ends_.size(), options_.max_listed_ends);
     answer.lists.ends.assign(ends_.begin(), ends_.begin() + static_cast<std::ptrdiff_t>(listed));
@@ -198,7 +202,7 @@
 
 workload::call_reply fake_guarded_worker::start(const workload::worker_port::start_call& call) {
     const run_key key{call.run.task, call.run.run};
-    if (call.worker != facts().instance) {
+    if (call.worker.worker != facts().instance.worker) {
         return reply(call_outcome::other_worker);
     }
     if (fenced(call.token)) {
@@ -230,7 +234,7 @@
 
 workload::call_reply fake_guarded_worker::stop(const workload::worker_port::stop_call& call) {
     const run_key key{call.run.task, call.run.run};
-    if (call.worker != facts().instance) {
+    if (call.worker.worker != facts().instance.worker) {
         return reply(call_outcome::other_worker);
     }
     if (fenced(call.token)) {
@@ -280,12 +284,16 @@
     const bool lost = leave_unanswered(call.timeout, unanswered,
                                        [&worker = worker_, call] { worker.renew(call); });
     if (!lost) {
-        wait_for_end(call, worker_.loop().now() + call.wait, done);
+        wait_for_end(call, worker_.loop().now() + call.wait, worker_.version(), done);
     }
 }
 
-void fake_worker_link::wait_for_end(const renew_call& call, time_point until,
+void fake_worker_link::wait_for_end(const renew_call& call, time_point until, std::uint64_t version,
                                     const std::function<void(workload::renew_reply)>& done) {
+    if (version != worker_.version()) {
+        done({.reply = {.outcome = call_outcome::disconnected}});
+        return;
+    }
     if (worker_.is_down()) {
         schedule_if_alive(call.timeout,
                           [done] { done({.reply = {.outcome = call_outcome::unanswered}}); });
@@ -298,8 +306,9 @@
         schedule_if_alive(call_delay, [done, answer] { done(answer); });
         return;
     }
-    schedule_if_alive(poll_interval,
-                      [this, call, until, done] { wait_for_end(call, until, done); });
+    schedule_if_alive(poll_interval, [this, call, until, version, done] {
+        wait_for_end(call, until, version, done);
+    });
 }
 
 void fake_worker_link::start(const start_call& call,
--- a/scenarios/fakes/fake_guarded_worker.hpp
+++ b/scenarios/fakes/fake_guarded_worker.hpp
@@ -39,7 +39,8 @@
 };
 
 /// A worker that checks leases and fencing tokens, but not its capacity, before it starts a run,
-/// and lists ended runs until they are acknowledged.
+/// and lists ended runs until they are acknowledged. A call names the worker's id only, so after a
+/// crash the new instance carries out calls that were meant for the previous one.
 class fake_guarded_worker {
 public:
     struct options {
@@ -101,6 +102,8 @@
     workload::call_reply stop(const workload::worker_port::stop_call& call);
 
     runtime& loop() { return loop_; }
+    /// @return the number of the running instance
+    std::uint64_t version() const { return version_; }
     bool has_unacknowledged_ends() const { return !ends_.empty(); }
 
 private:
@@ -155,7 +158,7 @@
     void schedule_if_alive(duration delay_time, std::function<void()> action);
     bool leave_unanswered(duration timeout, const std::function<void()>& unanswered,
                           std::function<void()> late_effect);
-    void wait_for_end(const renew_call& call, time_point until,
+    void wait_for_end(const renew_call& call, time_point until, std::uint64_t version,
                       const std::function<void(workload::renew_reply)>& done);
 
     fake_guarded_worker& worker_;
--- a/scenarios/fakes/fake_network.cpp
+++ b/scenarios/fakes/fake_network.cpp
@@ -60,7 +60,8 @@
 void fake_network::deliver(const std::string& from, const std::string& to,
                            const wire::PeerMessage& message) {
     const auto found = ports_.find(to);
-    if (found == ports_.end() || partitions_.contains(ordered_pair(from, to))) {
+    if (found == ports_.end() || partitions_.contains(ordered_pair(from, to)) ||
+        cuts_.contains({from, to})) {
         return;
     }
     ++delivered_;
--- a/scenarios/fakes/fake_network.hpp
+++ b/scenarios/fakes/fake_network.hpp
@@ -29,6 +29,10 @@
     void partition(const std::string& first, const std::string& second);
     void heal(const std::string& first, const std::string& second);
 
+    /// Drops all messages from one process to another until `restore`.
+    void cut(const std::string& from, const std::string& to) { cuts_.insert({from, to}); }
+    void restore(const std::string& from, const std::string& to) { cuts_.erase({from, to}); }
+
     std::uint64_t delivered() const { return delivered_; }
 
 private:
@@ -43,6 +47,8 @@
     options options_;
     std::map<std::string, port*> ports_;
     std::set<process_pair> partitions_;
+    // Sender and receiver.
+    std::set<process_pair> cuts_;
     std::uint64_t delivered_ = 0;
 };
 
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -368,6 +368,8 @@
     std::vector<task_ref> runs_of_other_instances(const worker_instance& place);
     void handle_new_instance(worker_state& worker, const worker_report& report, time_point now);
     void record_sent_runs(const replaced_worker& replaced);
+    void adopt_runs(const worker_report& report);
+    void adopt_run(const task_name& task, run_number run, const worker_instance& place);
     void handle_worker_crash(worker_state& worker, const crash_sign& sign, time_point now);
     crash_scope scope_of_crash(const worker_state& worker, time_point now);
     bool has_suspicious_runs(const host_id& host);
--- a/src/baobabrack/workload/scheduler_crashes.cpp
+++ b/src/baobabrack/workload/scheduler_crashes.cpp
@@ -143,6 +143,7 @@
         record_sent_runs(*report.replaced);
         sign.starts_known = report.replaced->instance;
     }
+    adopt_runs(report);
     const bool has_predecessor = !first_contact || worker.lists_at != time_point{} ||
                                  !runs_of_other_instances(instance).empty();
     if (has_predecessor && !worker.facts.draining) {
@@ -151,6 +152,33 @@
     mark_runs_lost(instance, "a newer worker instance runs on the host");
 }
 
+// A start that was sent to a worker's previous instance may have been carried out by the new one,
+// since calls name the worker's id only. Such a run is not lost.
+void scheduler::adopt_runs(const worker_report& report) {
+    for (const auto& run : report.runs) {
+        if (run.listed) {
+            adopt_run(run.task, run.run, report.facts.instance);
+        }
+    }
+    for (const auto& end : report.ends) {
+        adopt_run(end.task, end.run, report.facts.instance);
+    }
+}
+
+void scheduler::adopt_run(const task_name& task, run_number run, const worker_instance& place) {
+    const auto ref = find(task);
+    if (!ref || ref->task->phase != task_phase::assigned || ref->task->run != run ||
+        ref->task->place.host != place.host || ref->task->place == place) {
+        return;
+    }
+    add_decision_event("run-adopted", task, run, place.host,
+                       "worker " + place.worker.get() + " carried it out in a newer instance");
+    ref->task->place = place;
+    ref->state->sent = true;
+    ref->state->begun = true;
+    ref->job->dirty = true;
+}
+
 void scheduler::record_sent_runs(const replaced_worker& replaced) {
     for (const auto& run : replaced.runs) {
         const auto ref = find(run.task);
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -177,7 +177,8 @@
     }
     ++counts_.refused;
     add_decision_event("start-refused", refusal.task, refusal.run, place.host, refusal.reason);
-    if (refusal.reason == "unavailable" || refusal.reason == "no_room") {
+    if (refusal.reason == "unavailable" || refusal.reason == "unreachable" ||
+        refusal.reason == "no_room") {
         workers_.find_or_add(place.host)
             .history.record_failure(refusal.task.step.job, now - ref->state->assigned_at, now);
     }
--- a/src/baobabrack/workload/worker_guard.cpp
+++ b/src/baobabrack/workload/worker_guard.cpp
@@ -49,12 +49,16 @@
             return "no_room";
         case call_outcome::unavailable:
             return "unavailable";
+        case call_outcome::unreachable:
+            return "unreachable";
         case call_outcome::rejected:
             return "rejected";
         case call_outcome::other_worker:
             return "other_worker";
         case call_outcome::unanswered:
             return "unanswered";
+        case call_outcome::disconnected:
+            return "disconnected";
     }
     return "unknown";
 }
@@ -102,6 +106,7 @@
     }
     if (!same_instance) {
         const bool first_instance = !facts_;
+        const bool same_id = facts_ && facts_->instance.worker == instance.worker;
         if (runs_.lists_seen()) {
             replaced_ = {.instance = facts_->instance,
                          .lists_age = loop_.now() - last_lists_at_,
@@ -113,8 +118,8 @@
         instance_began_ = announcement.began;
         last_lists_at_ = loop_.now();
         // If the worker was already running when this guard started, an earlier guard may have
-        // extended its lease.
-        lease_.reset(first_instance ? loop_.now() + options_.max_lease : time_point{});
+        // extended its lease; so may calls to the previous instance of the same id.
+        lease_.reset(first_instance || same_id ? loop_.now() + options_.max_lease : time_point{});
         log_event(log_level::info, "worker-announced")
             .field("worker", instance.worker.get())
             .field("incarnation", instance.version.get())
@@ -160,6 +165,9 @@
 // State of an earlier worker instance does not apply to the current one.
 void worker_guard::reset_worker_state() {
     runs_.clear();
+    instance_doubtful_ = false;
+    // Calls that were meant for the previous instance must not be carried out by this one later.
+    increase_token(token_step);
     announcement_age_.reset();
     unconfirmed_starts_.clear();
     stops_sent_.clear();
@@ -353,8 +361,8 @@
     suspend_lease_if_silent();
     worker_.renew({.worker = facts_->instance,
                    .token = token_,
-                   .acknowledged_ends = ends_stored_,
-                   .lease_until = lease_.extend(loop_.now()),
+                   .acknowledged_ends = instance_doubtful_ ? 0 : ends_stored_,
+                   .lease_until = instance_doubtful_ ? std::nullopt : lease_.extend(loop_.now()),
                    .wait = wait,
                    .timeout = wait + call_timeout},
                   [this, number, sent_at = renewal_sent_at_,
@@ -390,6 +398,12 @@
             increase_token(token_step);
             last_renewal_loss_ = loop_.now();
             break;
+        case call_outcome::disconnected:
+        case call_outcome::unreachable:
+        case call_outcome::other_worker:
+            increase_token(token_step);
+            doubt_instance(renewal.reply.outcome);
+            break;
         default:
             break;
     }
@@ -402,9 +416,24 @@
     }
 }
 
+// Another instance may be running under the worker's id. It would carry out calls that are meant
+// for the known one, so no start is sent, no end is acknowledged and no lease is extended until the
+// known instance has returned lists.
+void worker_guard::doubt_instance(call_outcome outcome) {
+    if (!std::exchange(instance_doubtful_, true)) {
+        log_event(log_level::warning, "worker-doubtful")
+            .field("worker", facts_->instance.worker.get())
+            .field("incarnation", facts_->instance.version.get())
+            .field("outcome", to_string(outcome));
+    }
+}
+
 void worker_guard::apply_run_lists(std::uint64_t number, time_point sent_at,
                                    const renew_reply& renewal) {
     last_lists_at_ = std::max(last_lists_at_, sent_at);
+    if (std::exchange(instance_doubtful_, false)) {
+        schedule_report();
+    }
     if (lease_.suspended()) {
         log_event(log_level::info, "worker-regained")
             .field("worker", facts_->instance.worker.get());
--- a/src/baobabrack/workload/worker_guard.hpp
+++ b/src/baobabrack/workload/worker_guard.hpp
@@ -91,6 +91,7 @@
     void send_renewal(duration wait);
     void handle_renew_reply(std::uint64_t number, time_point sent_at,
                             const worker_instance& instance, const renew_reply& renewal);
+    void doubt_instance(call_outcome outcome);
     void apply_run_lists(std::uint64_t number, time_point sent_at, const renew_reply& renewal);
     void increase_token(std::uint64_t by);
     void update_clock(const call_reply& reply);
@@ -113,6 +114,8 @@
     announcement_age announcement_age_;
     bool capacity_outdated_ = false;
     worker_lease lease_;
+    // The latest lease renewal failed in a way that a crash of the worker would explain.
+    bool instance_doubtful_ = false;
 
     std::string leader_endpoint_;
     std::uint64_t term_ = 0;
--- a/src/baobabrack/workload/worker_guard_calls.cpp
+++ b/src/baobabrack/workload/worker_guard_calls.cpp
@@ -24,7 +24,8 @@
 
 void worker_guard::handle_start_order(const start_order& run) {
     const run_key key{run.task, run.run};
-    if (!runs_.lists_known() || !runs_.is_unknown(key)) {
+    // Later orders contain the start again.
+    if (!runs_.lists_known() || instance_doubtful_ || !runs_.is_unknown(key)) {
         return;
     }
     if (facts_->draining) {
@@ -74,7 +75,7 @@
 // Sends a start call if the lease can be extended for it.
 bool worker_guard::send_start(const start_order& run, unsigned attempts) {
     const auto lease_until = lease_.extend(loop_.now());
-    if (!lease_until) {
+    if (!lease_until || instance_doubtful_) {
         return false;
     }
     const run_key key{run.task, run.run};
@@ -130,6 +131,7 @@
             runs_.set_deciding_renewal(key, renewals_sent_ + 1, true);
             break;
         case call_outcome::unanswered:
+        case call_outcome::disconnected:
             increase_token(token_step);
             runs_.set_deciding_renewal(key, renewals_sent_ + 1, false);
             renewal_in_flight_ = false;
@@ -185,8 +187,9 @@
         return;
     }
     update_clock(reply);
-    const bool failed =
-        reply.outcome == call_outcome::unanswered || reply.outcome == call_outcome::fenced;
+    const bool failed = reply.outcome == call_outcome::unanswered ||
+                        reply.outcome == call_outcome::disconnected ||
+                        reply.outcome == call_outcome::fenced;
     const run_key key{run.task, run.run};
     if (!failed || !runs_.may_have(key)) {
         return;
--- a/src/baobabrack/workload/worker_port.hpp
+++ b/src/baobabrack/workload/worker_port.hpp
@@ -31,12 +31,16 @@
     no_room,
     /// The worker did nothing; a later attempt may succeed.
     unavailable,
+    /// The call could not be sent; the worker may have crashed.
+    unreachable,
     /// The worker did nothing and rejects the call permanently.
     rejected,
     /// Another instance of the worker answered.
     other_worker,
     /// No answer arrived; the call may have been carried out or may still be carried out later.
     unanswered,
+    /// The same, because the connection broke: the worker may have crashed.
+    disconnected,
 };
 
 std::string_view to_string(call_outcome outcome);
--- a/tests/adapter/decoders.tests.cpp
+++ b/tests/adapter/decoders.tests.cpp
@@ -69,11 +69,11 @@
     CHECK(platform::decode_call_reply(answer(400, "")).outcome == call_outcome::rejected);
     CHECK(platform::decode_call_reply(answer(500, "")).outcome == call_outcome::unanswered);
     CHECK(platform::decode_call_reply({.completion = http_completion::not_sent}).outcome ==
-          call_outcome::unavailable);
+          call_outcome::unreachable);
     CHECK(platform::decode_call_reply({.completion = http_completion::timed_out}).outcome ==
           call_outcome::unanswered);
     CHECK(platform::decode_call_reply({.completion = http_completion::broken}).outcome ==
-          call_outcome::unanswered);
+          call_outcome::disconnected);
 }
 
 TEST_CASE("Both lists of a worker are decoded and malformed rows are skipped", "[adapter]") {
--- a/tests/workload/faults.tests.cpp
+++ b/tests/workload/faults.tests.cpp
@@ -75,6 +75,33 @@
     }
 }
 
+/// Injects one random fault of the paths between processes: a worker that restarts under its id
+/// without being announced, or messages that pass in one direction only.
+void inject_random_path_fault(simulated_cluster& cluster) {
+    const auto random_below = [&](std::uint64_t limit) {
+        return static_cast<unsigned>(cluster.loop.random() % limit);
+    };
+    const auto scheduler = "s" + std::to_string(random_below(scheduler_count));
+    const auto host = random_below(host_count);
+    const auto host_name = "h" + std::to_string(host);
+    switch (random_below(5)) {
+        case 0:
+            cluster.drop_announcements(host, true);
+            break;
+        case 1:
+        case 2:
+            cluster.drop_announcements(host, true);
+            cluster.crash_worker(host, std::chrono::milliseconds{random_below(500)});
+            break;
+        case 3:
+            cluster.cut(scheduler, host_name);
+            break;
+        default:
+            cluster.cut(host_name, scheduler);
+            break;
+    }
+}
+
 void clear_faults(simulated_cluster& cluster) {
     for (unsigned index = 0; index < scheduler_count; ++index) {
         if (!cluster.is_scheduler_running(index)) {
@@ -85,10 +112,15 @@
             cluster.reconnect("s" + std::to_string(index), "s" + std::to_string(other));
         }
         for (unsigned host = 0; host < host_count; ++host) {
-            cluster.reconnect("s" + std::to_string(index), "h" + std::to_string(host));
+            const auto scheduler_name = "s" + std::to_string(index);
+            const auto host_name = "h" + std::to_string(host);
+            cluster.reconnect(scheduler_name, host_name);
+            cluster.restore(scheduler_name, host_name);
+            cluster.restore(host_name, scheduler_name);
         }
     }
     for (unsigned host = 0; host < host_count; ++host) {
+        cluster.drop_announcements(host, false);
         if (!cluster.is_guard_running(host)) {
             cluster.start_guard(host);
         }
@@ -97,7 +129,9 @@
 }
 
 /// Runs a cluster with overlapping faults, then clears them and waits for all accepted jobs.
-void run_seed(std::uint64_t seed) {
+///
+/// @param inject injects one fault
+void run_seed(std::uint64_t seed, void (*inject)(simulated_cluster&)) {
     INFO("seed " << seed);
     simulated_cluster cluster(seed, {});
     cluster.run_for(2s);
@@ -112,7 +146,7 @@
         if (cluster.submit(job)) {
             accepted.push_back(id);
         }
-        inject_random_fault(cluster);
+        inject(cluster);
         cluster.run_for(std::chrono::milliseconds{cluster.loop.random() % 2500});
         if (cluster.loop.random() % 3 == 0) {
             clear_faults(cluster);
@@ -135,6 +169,20 @@
 TEST_CASE("Invariants hold under random faults, and every accepted job completes",
           "[workload][faults]") {
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
-        run_seed(seed);
+        run_seed(seed, inject_random_fault);
+    }
+}
+
+TEST_CASE("Invariants hold while workers restart unannounced and messages pass one way only",
+          "[workload][faults]") {
+    const auto seeds = static_cast<std::uint64_t>(seed_count(60));
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        run_seed(seed, [](simulated_cluster& cluster) {
+            if (cluster.loop.random() % 4 == 0) {
+                inject_random_fault(cluster);
+            } else {
+                inject_random_path_fault(cluster);
+            }
+        });
     }
 }
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -737,6 +737,29 @@
     CHECK(event.detail.find("no other worker crashed") != std::string::npos);
 }
 
+// A start that reached the worker after it had restarted under its id.
+TEST_CASE("A run that a newer instance of its worker has is not lost", "[scheduler][crashes]") {
+    scheduler_fixture fixture;
+    fixture.add_worker("h1");
+    fixture.add_worker("h2");
+    fixture.submit(job_of("j", 1, 8));
+    fixture.run_pass();
+    const std::string host = fixture.run_count("h1") == 1 ? "h1" : "h2";
+    auto& report = fixture.reports[host];
+    report.facts.instance.version = incarnation{2};
+    SECTION("it goes on") {
+        fixture.run_pass();
+        CHECK(fixture.run_count(host) == 1);
+    }
+    SECTION("it has ended") {
+        fixture.end_all(host, run_outcome::done);
+        fixture.run_pass();
+        CHECK(fixture.subject.open_jobs() == 0);
+    }
+    CHECK(fixture.run_count("h1") + fixture.run_count("h2") == report.runs.size());
+    CHECK(fixture.subject.counts().lost == 0);
+}
+
 // The guard was down until the lease had expired, and then reports an end from before.
 TEST_CASE("A start that was not sent before its worker crashed does not count",
           "[scheduler][crashes]") {
--- a/tests/workload/simulated_cluster.hpp
+++ b/tests/workload/simulated_cluster.hpp
@@ -89,6 +89,9 @@
     void disconnect(const std::string& first, const std::string& second) {
         network_.partition(first, second);
     }
+    /// Drops the messages from one process to another until `restore`.
+    void cut(const std::string& from, const std::string& to) { network_.cut(from, to); }
+    void restore(const std::string& from, const std::string& to) { network_.restore(from, to); }
     void reconnect(const std::string& first, const std::string& second) {
         network_.heal(first, second);
     }
--- a/tests/workload/worker_guard.tests.cpp
+++ b/tests/workload/worker_guard.tests.cpp
@@ -308,6 +308,42 @@
     CHECK(fixture.worker.starts.size() == 1);
 }
 
+// The worker's id is all that a call names, so the new instance carried out what was meant for the
+// previous one, and forgot ends that no one had seen.
+TEST_CASE("Nothing is started or acknowledged while another instance may run under the worker's id",
+          "[guard]") {
+    const auto outcome =
+        GENERATE(call_outcome::other_worker, call_outcome::disconnected, call_outcome::unreachable);
+    guard_fixture fixture;
+    fixture.announce(1, 1000);
+    worker_orders stored;
+    stored.ends_stored = 7;
+    fixture.order(stored, 1);
+    fixture.answer_renewal({}, 1010);
+    REQUIRE(fixture.worker.renewals.back().call.acknowledged_ends == 7);
+    fixture.worker.renewals.back().answer({.reply = {.outcome = outcome}});
+    fixture.loop.run_for(5ms);
+    fixture.order(start_of(wanted()), 1);
+    fixture.loop.run_for(250ms);
+    CHECK(fixture.worker.starts.empty());
+    CHECK(fixture.newest_report.refusals().empty());
+    CHECK(fixture.worker.renewals.back().call.acknowledged_ends == 0);
+    CHECK_FALSE(fixture.worker.renewals.back().call.lease_until);
+    fixture.answer_renewal({}, 1300);
+    fixture.order(start_of(wanted()), 1);
+    CHECK(fixture.worker.starts.size() == 1);
+}
+
+TEST_CASE("A new instance of the worker is called with a higher token", "[guard]") {
+    guard_fixture fixture;
+    fixture.announce(1, 1000);
+    fixture.order({}, 1);
+    fixture.answer_renewal({}, 1010);
+    const auto before = fixture.worker.renewals.back().call.token;
+    fixture.announce(2, 50);
+    CHECK(fixture.worker.renewals.back().call.token > before);
+}
+
 TEST_CASE("An unanswered start that the run lists show counts as a run", "[guard]") {
     guard_fixture fixture;
     fixture.announce(1, 1000);
