Grant no lease in reply to a report that the leader ignores

Cause: a report of a worker instance that has not responded, or without a worker, did not move the expiry that the leader expects, but was answered with a grant. The guard could extend the lease of whatever answers under the worker's id beyond what the leader waits for.

Change: scheduler::handle_report says whether the lease may be extended, and only then the reply grants.

The new checks in 'Runs are not lost to a worker instance that has not responded' do not compile before, as there was no such result.

--- a/src/baobabrack/workload/guard_sessions.cpp
+++ b/src/baobabrack/workload/guard_sessions.cpp
@@ -74,6 +74,15 @@
     orders.set_report_sent_at_us(current.report_sent_at_us);
 }
 
+void guard_sessions::set_lease_extendable(const host_id& host, bool extendable) {
+    sessions_.at(host).lease_extendable = extendable;
+}
+
+bool guard_sessions::is_lease_extendable(const host_id& host) const {
+    const auto found = sessions_.find(host);
+    return found != sessions_.end() && found->second.lease_extendable;
+}
+
 bool guard_sessions::all_lists_known(const std::set<std::string>& guards) const {
     return std::all_of(guards.begin(), guards.end(), [&](const std::string& guard) {
         const auto* report = find(host_id{guard});
--- a/src/baobabrack/workload/guard_sessions.hpp
+++ b/src/baobabrack/workload/guard_sessions.hpp
@@ -38,6 +38,11 @@
     /// process and the report that they respond to.
     void fill_header(const host_id& host, wire::WorkloadOrders& orders);
 
+    /// Records whether the lease of the guard's worker may be extended in reply to its latest
+    /// report.
+    void set_lease_extendable(const host_id& host, bool extendable);
+    bool is_lease_extendable(const host_id& host) const;
+
     /// @return whether each of these guards has reported its worker's lists in this term
     bool all_lists_known(const std::set<std::string>& guards) const;
 
@@ -49,6 +54,7 @@
         std::uint64_t orders_sent = 0;
         std::uint64_t report_sent_at_us = 0;
         time_point last_heard{};
+        bool lease_extendable = false;
         worker_report report;
     };
 
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -209,7 +209,10 @@
 
     /// Processes the report of a guard. Answering it may extend the worker's lease by
     /// `options::lease` from when the report was sent.
-    void handle_report(const worker_report& report, time_point now);
+    ///
+    /// @return whether the lease may be extended: not by a reply to a report that this scheduler
+    ///         ignores, as it would expect the lease to expire earlier
+    bool handle_report(const worker_report& report, time_point now);
 
     /// Updates the state of all jobs and places waiting tasks.
     ///
--- a/src/baobabrack/workload/scheduler_node.cpp
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -411,9 +411,9 @@
         return;
     }
     guards_.record_contact(message.host(), message.zmq_endpoint(), deps_.loop.now());
-    if (!message.worker().id().empty()) {
-        scheduler_->handle_report(*report, deps_.loop.now());
-    }
+    const bool may_extend =
+        !message.worker().id().empty() && scheduler_->handle_report(*report, deps_.loop.now());
+    sessions_.set_lease_extendable(host_id{message.host()}, may_extend);
     replies_due_.insert(host_id{message.host()});
     schedule_decision();
 }
@@ -443,7 +443,8 @@
     sessions_.fill_header(host, orders);
     orders.set_scheduler(options_.id);
     orders.set_zmq_endpoint(options_.zmq_endpoint);
-    const auto lease = leadership_confirmed() ? options_.scheduling.lease : duration::zero();
+    const bool may_grant = leadership_confirmed() && sessions_.is_lease_extendable(host);
+    const auto lease = may_grant ? options_.scheduling.lease : duration::zero();
     orders.set_granted_ms(static_cast<std::uint64_t>(to_ms(lease)));
     to_wire(scheduler_->orders_for(*report), orders);
     deps_.network.send(host.get(), out);
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -32,13 +32,13 @@
 
 }  // namespace
 
-void scheduler::handle_report(const worker_report& report, time_point now) {
+bool scheduler::handle_report(const worker_report& report, time_point now) {
     const auto& instance = report.facts.instance;
     auto& worker = workers_.find_or_add(instance.host);
     if (worker.facts.instance != instance) {
         // The reported instance may be outdated until the worker has responded to its guard.
         if (!report.lists_known && !runs_by_host_[instance.host].empty()) {
-            return;
+            return false;
         }
         handle_new_instance(worker, report, now);
         applied_ends_.erase(worker.facts.instance);
@@ -66,16 +66,17 @@
     if (!report.lease_suspended) {
         worker.lease_expired_after =
             std::max(worker.lease_expired_after, now + lease_expiry_bound(options_.lease));
-    } else if (worker.renewal_suspended) {
-        // The lease has not been renewed since the first report with this flag.
-        worker.lease_expired_after =
-            std::min(worker.lease_expired_after, now + lease_expiry_bound(report.lease_remaining));
     } else {
-        worker.lease_expired_after = now + lease_expiry_bound(report.lease_remaining);
+        const auto expired_after = now + lease_expiry_bound(report.lease_remaining);
+        // The lease has not been renewed since the first report with this flag. Once nothing
+        // remains of it, later reports say nothing new.
+        const bool known = worker.renewal_suspended && report.lease_remaining <= duration::zero();
+        worker.lease_expired_after =
+            known ? std::min(worker.lease_expired_after, expired_after) : expired_after;
     }
     worker.renewal_suspended = report.lease_suspended;
     if (!report.lists_known) {
-        return;
+        return true;
     }
     worker.lists_at = now - report.lists_age;
     worker.expired = worker.expired && report.lease_suspended;
@@ -94,6 +95,7 @@
         apply_refusal(refusal, instance, now);
     }
     apply_runs(report, now);
+    return true;
 }
 
 void scheduler::apply_end(const ended_run& end, const worker_instance& place, time_point now) {
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -649,10 +649,11 @@
     other.facts.instance.version = incarnation{9};
     other.runs.clear();
     other.lists_known = false;
-    fixture.subject.handle_report(other, fixture.now);
+    // Nor may the lease be extended, as this scheduler expects it to expire.
+    CHECK_FALSE(fixture.subject.handle_report(other, fixture.now));
     CHECK(fixture.subject.counts().lost == 0);
     other.lists_known = true;
-    fixture.subject.handle_report(other, fixture.now);
+    CHECK(fixture.subject.handle_report(other, fixture.now));
     CHECK(fixture.subject.counts().lost == 1);
 }
 
