Do not let a lease outlast its grant after a suspension

Cause: the guard converted grants to the worker's clock as if it had gone on since its latest reading, and reported by its own clock, which counts suspension, that nothing remains of the lease.

Change: a grant is converted as if the worker's clock had stopped since the reading; after a pause of its own, or when another instance may have got a lease, the guard assumes the longest one. An answer without a grant does not acknowledge that the worker is back.

--- a/scenarios/fakes/fake_guarded_worker.cpp
+++ b/scenarios/fakes/fake_guarded_worker.cpp
@@ -122,7 +122,10 @@
 
 void fake_guarded_worker::extend_lease(const std::optional<workload::worker_time>& lease) {
     if (lease) {
-        lease_ms_ = std::max(lease_ms_, lease->get());
+        const auto longest =
+            clock().get() +
+            std::chrono::duration_cast<std::chrono::milliseconds>(options_.max_lease).count();
+        lease_ms_ = std::max(lease_ms_, std::min(lease->get(), longest));
     }
 }
 
--- a/scenarios/fakes/fake_guarded_worker.hpp
+++ b/scenarios/fakes/fake_guarded_worker.hpp
@@ -54,6 +54,8 @@
         duration restart_time = std::chrono::seconds{3};
         /// Time for which a start may still rely on the capacity before it shrank.
         duration capacity_notice = std::chrono::milliseconds{3700};
+        /// A longer lease is shortened to this.
+        duration max_lease = std::chrono::seconds{10};
         /// Ended runs that one reply lists at most, the oldest first.
         std::size_t max_listed_ends = 500;
         /// Returns how long after its start a run of the task crashes the worker, if it does.
--- a/src/baobabrack/workload/guarded_runs.cpp
+++ b/src/baobabrack/workload/guarded_runs.cpp
@@ -24,6 +24,12 @@
     return starts_.contains(key) || is_listed(key);
 }
 
+bool guarded_runs::has_unlisted_starts() const {
+    return std::any_of(starts_.begin(), starts_.end(), [&](const auto& entry) {
+        return !is_listed(entry.first) && !has_ended(entry.first);
+    });
+}
+
 bool guarded_runs::is_unknown(const run_key& key) const {
     return !may_have(key) && !may_have_ended(key) && !refusals_.contains(key);
 }
--- a/src/baobabrack/workload/guarded_runs.hpp
+++ b/src/baobabrack/workload/guarded_runs.hpp
@@ -55,6 +55,9 @@
     /// @return whether the worker has the run, or may have it because a start is pending
     bool may_have(const run_key& key) const;
 
+    /// @return whether the lists do not show yet whether some start has happened
+    bool has_unlisted_starts() const;
+
     /// @return whether the run is certainly neither present, ended nor refused, so that it may be
     ///         started
     bool is_unknown(const run_key& key) const;
--- a/src/baobabrack/workload/worker_guard.cpp
+++ b/src/baobabrack/workload/worker_guard.cpp
@@ -14,6 +14,8 @@
 
 // Three reports fit into the timeout after which a scheduler considers a host silent.
 constexpr duration report_interval = 500ms;
+// A periodic report that is late by more than this shows that the process was paused.
+constexpr duration pause_tolerance = 300ms;
 // After this time without orders, reports go to every seed in order to find the leader.
 constexpr duration leader_timeout = 1200ms;
 constexpr duration renewal_wait = 500ms;
@@ -88,9 +90,23 @@
 
 void worker_guard::send_periodic_report() {
     periodic_report_timer_.arm(report_interval, [this] { send_periodic_report(); });
+    check_pause();
+    last_period_at_ = loop_.now();
     send_report();
 }
 
+// After a pause, the host may have been suspended, and the worker's clock with it. Its lease then
+// lasts longer than the time that has passed here says.
+void worker_guard::check_pause() {
+    const auto period = loop_.now() - last_period_at_;
+    if (last_period_at_ == time_point{} || period <= report_interval + pause_tolerance) {
+        return;
+    }
+    log_event(log_level::warning, "guard-paused").field("silent_ms", to_ms(period));
+    last_period_at_ = loop_.now();
+    lease_.assume(loop_.now() + options_.max_lease);
+}
+
 bool worker_guard::announce(const worker_announcement& announcement) {
     const auto& instance = announcement.facts.instance;
     const bool same_instance = facts_ && facts_->instance == instance;
@@ -185,6 +201,7 @@
 
 void worker_guard::send_report() {
     report_timer_.cancel();
+    check_pause();
     worker_report report;
     report.facts.instance.host = options_.host;
     if (facts_) {
@@ -258,9 +275,9 @@
     const auto granted = std::chrono::milliseconds{static_cast<std::int64_t>(message.granted_ms())};
     if (message.granted_ms() > 0) {
         lease_.grant(sent + granted);
+        lease_.acknowledge_report(message.report_sequence());
     }
     runs_.acknowledge_report(message.report_sequence());
-    lease_.acknowledge_report(message.report_sequence());
     const auto orders = from_wire(options_.host, message);
     if (!facts_ || orders.worker != facts_->instance) {
         return;
@@ -420,12 +437,18 @@
 // for the known one, so no start is sent, no end is acknowledged and no lease is extended until the
 // known instance has returned lists.
 void worker_guard::doubt_instance(call_outcome outcome) {
-    if (!std::exchange(instance_doubtful_, true)) {
-        log_event(log_level::warning, "worker-doubtful")
-            .field("worker", facts_->instance.worker.get())
-            .field("incarnation", facts_->instance.version.get())
-            .field("outcome", to_string(outcome));
+    if (std::exchange(instance_doubtful_, true)) {
+        return;
+    }
+    // The other instance may have got a lease from this renewal, or from a start.
+    if (outcome == call_outcome::other_worker || runs_.has_unlisted_starts()) {
+        lease_.assume(loop_.now() + options_.max_lease);
     }
+    log_event(log_level::warning, "worker-doubtful")
+        .field("worker", facts_->instance.worker.get())
+        .field("incarnation", facts_->instance.version.get())
+        .field("outcome", to_string(outcome))
+        .field("lease_left_ms", to_ms(lease_.remaining(loop_.now())));
 }
 
 void worker_guard::apply_run_lists(std::uint64_t number, time_point sent_at,
--- a/src/baobabrack/workload/worker_guard.hpp
+++ b/src/baobabrack/workload/worker_guard.hpp
@@ -96,6 +96,7 @@
     void increase_token(std::uint64_t by);
     void update_clock(const call_reply& reply);
     void suspend_lease_if_silent();
+    void check_pause();
     duration worker_age() const;
     void check_announcement_age();
     void reset_worker_state();
@@ -122,6 +123,8 @@
     std::uint64_t last_orders_sequence_ = 0;
     time_point last_orders_at_{};
     time_point last_lists_at_{};
+    // When the latest periodic report was sent.
+    time_point last_period_at_{};
     time_point last_response_at_{};
     // The previous instance of the worker, its age counted from `replaced_at_`.
     std::optional<replaced_worker> replaced_;
--- a/src/baobabrack/workload/worker_lease.cpp
+++ b/src/baobabrack/workload/worker_lease.cpp
@@ -25,11 +25,14 @@
         return std::nullopt;
     }
     latest_expiry_ = std::max(latest_expiry_, granted_until_);
-    const auto span =
-        std::chrono::duration_cast<std::chrono::milliseconds>(granted_until_ - clock_read_at_);
+    const auto span = std::chrono::duration_cast<std::chrono::milliseconds>(granted_until_ - now);
     return worker_time{clock_.get() + span.count()};
 }
 
+void worker_lease::assume(time_point expires_at) {
+    latest_expiry_ = std::max(latest_expiry_, expires_at);
+}
+
 void worker_lease::suspend() {
     suspended_ = true;
     resume_report_ = 0;
--- a/src/baobabrack/workload/worker_lease.hpp
+++ b/src/baobabrack/workload/worker_lease.hpp
@@ -32,10 +32,16 @@
     /// Records that the leader allows the lease to last until this time of the host's clock.
     void grant(time_point until);
 
+    /// Converts the grant to the worker's clock. Since its latest reading that clock may have
+    /// stopped for any time, as it does while its host is suspended.
+    ///
     /// @return the expiry time that a call sent now may set, or nothing if the lease must not be
     ///         extended
     std::optional<worker_time> extend(time_point now);
 
+    /// Records that the lease may last until this time, for a reason other than a grant.
+    void assume(time_point expires_at);
+
     /// Stops extending the lease because the worker does not answer any more.
     void suspend();
 
