Reject announcements with numbers that are out of range

Cause: a capacity above 32 bits was cut, and any 64-bit time was taken for the beginning of a newer instance, so that one odd announcement of another writer under a worker's id made the worker's own ones look older until its lease was suspended.

Change: numbers of announcements have limits.

--- a/tests/adapter/decoders.tests.cpp
+++ b/tests/adapter/decoders.tests.cpp
@@ -184,3 +184,24 @@
     CHECK_FALSE(decode(R"({"Service":7,"State":"ready","Capacity":{},"Sequence":1})"));
     CHECK_FALSE(decode("\xff"));
 }
+
+// A number that is too large was cut to 32 bits, or taken for the time at which a newer instance
+// began.
+TEST_CASE("An odd announcement of another writer is rejected", "[adapter]") {
+    const auto decode = [](const std::string& capacity, const std::string& more) {
+        return platform::decode_announcement(
+            workload::host_id{"h"}, worker_id{"w"},
+            R"({"Service":"s","State":"ready","Capacity":)" + capacity + more + "}");
+    };
+    const std::string capacity = R"({"Cpu":1,"MemMb":2,"Gpu":3})";
+    REQUIRE(decode(capacity, R"(,"Sequence":1,"born":1796460130467)"));
+    CHECK_FALSE(decode(R"({"Cpu":4294967297,"MemMb":2,"Gpu":3})", R"(,"Sequence":1)"));
+    CHECK_FALSE(decode(R"({"Cpu":1,"MemMb":2,"Gpu":1e300})", R"(,"Sequence":1)"));
+    CHECK_FALSE(decode(capacity, R"(,"Sequence":18446744073709551615)"));
+    CHECK_FALSE(decode(capacity, R"(,"Sequence":1,"born":9000000000000000)"));
+    CHECK_FALSE(decode(capacity, R"(,"Sequence":1,"ClockMs":18446744073709551615)"));
+    CHECK_FALSE(decode(capacity, R"(,"Sequence":1e400)"));
+    const std::size_t depth = 200'000;
+    CHECK_FALSE(decode(std::string(depth, '[') + std::string(depth, ']'), R"(,"Sequence":1)"));
+    CHECK_FALSE(decode(std::string(depth, '['), ""));
+}
