Keep positions of workers without a map for each placement pass

Change: the position is stored with the worker again and counts only if the candidate there is that worker, so that a position of another pass is not used. All of test_workload passes, with the case that showed the fault.

--- a/src/baobabrack/workload/scheduler_capacity.cpp
+++ b/src/baobabrack/workload/scheduler_capacity.cpp
@@ -1,6 +1,5 @@
 // Capacity for groups that do not fit now: forecast of free capacity, and preemption.
 #include <algorithm>
-#include <unordered_map>
 
 #include "baobabrack/units/seconds.hpp"
 #include "baobabrack/workload/scheduler.hpp"
@@ -22,24 +21,13 @@
 // has to run again, and delays work that waits behind it.
 constexpr double max_loss_ratio = 0.5;
 
-/// Finds the position of a worker among the candidates of one placement pass.
-class candidate_positions {
-public:
-    explicit candidate_positions(const candidates& hosts) {
-        for (std::size_t at = 0; at < hosts.size(); ++at) {
-            positions_.emplace(hosts[at].facts, at);
-        }
-    }
-
-    /// @param worker may be null
-    std::optional<std::size_t> find(const worker_state* worker) const {
-        const auto found = worker == nullptr ? positions_.end() : positions_.find(&worker->facts);
-        return found == positions_.end() ? std::nullopt : std::optional{found->second};
-    }
-
-private:
-    std::unordered_map<const worker_facts*, std::size_t> positions_;
-};
+// Returns the position of a worker among the candidates of one placement pass, or nothing. The
+// stored index may be that of another pass.
+std::optional<std::size_t> position_of(const worker_state* worker, const candidates& hosts) {
+    const auto index = worker == nullptr ? hosts.size() : worker->candidate_index;
+    return index < hosts.size() && hosts[index].facts == &worker->facts ? std::optional{index}
+                                                                        : std::nullopt;
+}
 
 }  // namespace
 
@@ -60,11 +48,13 @@
 
 capacity_forecast scheduler::forecast_capacity(const service_id& service, time_point now) {
     auto left = find_candidates(service, now);
-    const candidate_positions positions(left);
+    for (std::size_t at = 0; at < left.size(); ++at) {
+        workers_.find_or_add(left[at].facts->instance.host).candidate_index = at;
+    }
     std::vector<expected_release> releases;
     for (auto& [id, job] : jobs_) {
         for_each_task(job, [&](const task_ref& ref) {
-            if (const auto position = positions.find(ref.state->worker)) {
+            if (const auto position = position_of(ref.state->worker, left)) {
                 releases.push_back({.time = expected_end(ref, now),
                                     .host_index = *position,
                                     .amount = ref.step->per_task,
@@ -121,14 +111,13 @@
     if (!added) {
         return victims;
     }
-    const candidate_positions positions(pass.forecast.available());
     for (auto& [id, job] : jobs_) {
         if (job.spec.priority <= priority) {
             continue;
         }
         std::map<std::pair<std::uint32_t, std::uint32_t>, victim> gangs;
         for_each_task(job, [&](const task_ref& ref) {
-            const auto position = positions.find(ref.state->worker);
+            const auto position = position_of(ref.state->worker, pass.forecast.available());
             if (!position || pass.forecast.available()[*position].closed || ref.state->stopping) {
                 return;
             }
--- a/src/baobabrack/workload/worker_table.hpp
+++ b/src/baobabrack/workload/worker_table.hpp
@@ -137,6 +137,8 @@
     bool expired = false;
     /// Whether the worker has orphaned runs, whose resources are not included in `used`.
     bool has_orphaned_runs = false;
+    /// Index among the candidates of the latest placement pass that included the worker.
+    std::size_t candidate_index = 0;
 };
 
 /// The workers, one per host.
