Say in the log why a job waits, why it fails and what an append held

Change: new events job-waiting (bounded per job and pass) and worker-health; append-unanswered has the store's status and the size of the batch; job-failed has the failures, the limit and the latest run. No decision changes.

--- a/src/baobabrack/keyed/conditional_writer.cpp
+++ b/src/baobabrack/keyed/conditional_writer.cpp
@@ -51,7 +51,10 @@
             log_event(log_level::warning, "append-unanswered")
                 .field("topic", options_.topic.get())
                 .field("expected_end", end_.get())
-                .field("reason", to_string(reply.error().kind));
+                .field("reason", to_string(reply.error().kind))
+                .field("detail", reply.error().message)
+                .field("records", static_cast<std::uint64_t>(records_.size()))
+                .field("bytes", static_cast<std::uint64_t>(stored_size(records_)));
         }
         retry([this] { send(); });
         return;
--- a/src/baobabrack/keyed/keyed_log.hpp
+++ b/src/baobabrack/keyed/keyed_log.hpp
@@ -1,7 +1,9 @@
 #ifndef BAOBABRACK_KEYED_KEYED_LOG_HPP
 #define BAOBABRACK_KEYED_KEYED_LOG_HPP
 
+#include <cstddef>
 #include <functional>
+#include <numeric>
 #include <optional>
 #include <string>
 #include <vector>
@@ -22,6 +24,18 @@
     friend bool operator==(const keyed_record&, const keyed_record&) = default;
 };
 
+/// @return the size of the key and the value, in bytes
+inline std::size_t stored_size(const keyed_record& record) {
+    return record.key.size() + record.value.size();
+}
+
+/// @return the sum over the records, in bytes
+inline std::size_t stored_size(const std::vector<keyed_record>& records) {
+    return std::accumulate(
+        records.begin(), records.end(), std::size_t{0},
+        [](std::size_t sum, const keyed_record& record) { return sum + stored_size(record); });
+}
+
 struct keyed_entry {
     log_offset offset;
     keyed_record record;
--- a/src/baobabrack/workload/capacity_forecast.cpp
+++ b/src/baobabrack/workload/capacity_forecast.cpp
@@ -1,6 +1,9 @@
 #include "baobabrack/workload/capacity_forecast.hpp"
 
 #include <algorithm>
+#include <map>
+
+#include "baobabrack/units/seconds.hpp"
 
 namespace baobabrack::workload {
 
@@ -87,11 +90,38 @@
 void capacity_forecast::reserve(const task_group& group, const future_placement& placement) {
     for (const auto& placed : placement.places) {
         auto& reserved = reservations_[placed.host_index];
-        reserved.start = std::min(reserved.start, placement.time);
+        if (placement.time < reserved.start) {
+            reserved.start = placement.time;
+            reserved.holder = group.step.job;
+        }
         reserved.amount.add(group.spec->per_task);
     }
 }
 
+std::string capacity_forecast::describe_reservations(time_point now) const {
+    struct holding {
+        std::size_t hosts = 0;
+        time_point start = time_point::max();
+    };
+    std::map<job_id, holding> holdings;
+    for (const auto& reserved : reservations_) {
+        if (reserved.start != time_point::max()) {
+            auto& held = holdings[reserved.holder];
+            ++held.hosts;
+            held.start = std::min(held.start, reserved.start);
+        }
+    }
+    std::string text;
+    for (const auto& [job, held] : holdings) {
+        if (!text.empty()) {
+            text += ", ";
+        }
+        text += "job " + job.get() + " (" + std::to_string(held.hosts) + " hosts, from " +
+                to_ms_text(held.start - now) + " on)";
+    }
+    return text.empty() ? "none" : text;
+}
+
 void capacity_forecast::add_release(const expected_release& release) {
     releases_.insert(std::upper_bound(releases_.begin(), releases_.end(), release, is_earlier),
                      release);
--- a/src/baobabrack/workload/capacity_forecast.hpp
+++ b/src/baobabrack/workload/capacity_forecast.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "baobabrack/units/time.hpp"
@@ -65,6 +66,9 @@
     /// Reserves the places of a group from the time of its placement on.
     void reserve(const task_group& group, const future_placement& placement);
 
+    /// @return how many hosts are reserved, from when on and for which jobs, for the log
+    std::string describe_reservations(time_point now) const;
+
     /// Adds the release of a run that is being stopped.
     void add_release(const expected_release& release);
 
@@ -76,6 +80,8 @@
     struct reservation {
         time_point start = time_point::max();
         resources amount;
+        /// The job whose reservation begins first.
+        job_id holder;
     };
 
     candidates available_;
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -289,6 +289,8 @@
         bool failed = false;
         std::string failure_reason;
         time_point added_at{};
+        /// When the log last told why the job waits.
+        time_point wait_reported_at{};
         /// Indexed by occurrence, step and task, as in `progress`.
         std::vector<std::vector<std::vector<task_state>>> task_states;
         bool dirty = false;
@@ -415,6 +417,12 @@
     bool has_worker_for(const step_spec& step, const service_id& service) const;
     const service_id& service_for(const open_job& job, const step_spec& step) const;
     candidates find_candidates(const service_id& service, time_point now);
+    std::string_view exclusion_reason(const worker_state& worker, time_point now) const;
+    void report_health(time_point now);
+    void report_waiting(const std::vector<waiting_group>& groups,
+                        const std::map<service_id, placement_pass>& passes, time_point now);
+    std::string waiting_reason(const waiting_group& waiting, const placement_pass& pass,
+                               const service_id& service) const;
     bool placement_due(const workload_config& config, time_point now);
     std::vector<waiting_group> collect_waiting_groups(const workload_config& config, time_point now,
                                                       wall_time wall_now);
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -43,6 +43,14 @@
     return work;
 }
 
+run_number latest_run(const std::vector<task_progress>& tasks) {
+    run_number latest;
+    for (const auto& task : tasks) {
+        latest = std::max(latest, task.run);
+    }
+    return latest;
+}
+
 // The completion time that the job's queue promises.
 duration objective_of(const job_spec& spec) {
     return from_seconds(to_seconds(critical_path_time(spec)) * spec.slack_factor) +
@@ -67,6 +75,7 @@
 
 void scheduler::decide(const workload_config* config, time_point now, wall_time wall_now) {
     expire_silent_workers(now);
+    report_health(now);
     if (config != nullptr) {
         judge_lost_runs(now);
     }
@@ -131,17 +140,22 @@
         all_done = all_done && finished;
         for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
             const auto& spec = job.spec.steps[step];
+            const auto& tasks = occurrence.steps[step];
             std::uint32_t failures = 0;
-            for (const auto& task : occurrence.steps[step]) {
+            for (const auto& task : tasks) {
                 failures = spec.gang ? failures + task.failures : std::max(failures, task.failures);
             }
-            if (is_step_done(spec, occurrence.steps[step])) {
+            if (is_step_done(spec, tasks)) {
                 continue;
             }
-            const auto& tasks = occurrence.steps[step];
             if (!spec.long_running && failures >= job.spec.most_attempts) {
                 failed = true;
-                job.failure_reason = "a task has used up its attempts";
+                job.failure_reason =
+                    "a task has used up its attempts: " + std::to_string(failures) +
+                    " failures in step " + std::to_string(step) + ", " +
+                    std::to_string(job.spec.most_attempts) +
+                    " are allowed, and its latest run is " +
+                    std::to_string(latest_run(tasks).get());
             } else if (std::any_of(tasks.begin(), tasks.end(), [](const task_progress& task) {
                            return crashes_workers(task.crashes);
                        })) {
@@ -283,17 +297,10 @@
     candidates slow_candidates;
     const auto closed_hosts = trial_hosts();
     for (const auto& [host, worker] : workers_.all()) {
-        const auto health = worker.history.health(now);
-        const bool busy_on_probation =
-            health == worker_health::probation && worker.used != resources{};
-        const bool usable = worker.facts.service == service && !worker.facts.draining &&
-                            !worker.expired && worker.responding && !worker.has_orphaned_runs &&
-                            !worker.capacity_outdated &&
-                            now <= worker.last_heard + options_.silence_limit &&
-                            health != worker_health::unhealthy && !busy_on_probation;
-        if (!usable) {
+        if (worker.facts.service != service || !exclusion_reason(worker, now).empty()) {
             continue;
         }
+        const auto health = worker.history.health(now);
         const bool slow_worker = worker.speed.is_slow(now);
         auto& into = slow_worker && !worker.speed.from_gang() ? slow_candidates : usable_candidates;
         auto host_candidate = make_candidate(worker.facts, worker.used);
@@ -427,6 +434,7 @@
         }
         place_group(waiting, found->second);
     }
+    report_waiting(groups, passes, now);
 }
 
 // Starts what fits on hosts where it runs at full speed. For the rest, decides whether to wait, to
--- a/src/baobabrack/workload/worker_table.cpp
+++ b/src/baobabrack/workload/worker_table.cpp
@@ -68,6 +68,20 @@
     return record;
 }
 
+std::string_view to_string(worker_health health) {
+    switch (health) {
+        case worker_health::healthy:
+            return "healthy";
+        case worker_health::degraded:
+            return "degraded";
+        case worker_health::probation:
+            return "probation";
+        case worker_health::unhealthy:
+            return "unhealthy";
+    }
+    return "unknown";
+}
+
 void run_history::record_success() {
     failed_jobs_.clear();
     degraded_at_ = {};
@@ -100,6 +114,11 @@
     return degraded ? worker_health::degraded : worker_health::healthy;
 }
 
+std::string run_history::describe() const {
+    return "jobs whose runs have failed there since the last success: " +
+           std::to_string(failed_jobs_.size());
+}
+
 void worker_speed::add_sample(double share, bool from_gang, time_point now) {
     const bool was_slow = is_slow(now);
     average_ = value(now) * (1 - sample_weight) + std::min(share, 1.5) * sample_weight;
--- a/src/baobabrack/workload/worker_table.hpp
+++ b/src/baobabrack/workload/worker_table.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "baobabrack/units/resources.hpp"
@@ -41,6 +42,8 @@
     unhealthy,
 };
 
+std::string_view to_string(worker_health health);
+
 /// The outcomes of a worker's recent runs, to tell a faulty worker from failing tasks.
 ///
 /// Without it, a worker that fails every run right after its start always has free capacity and
@@ -62,6 +65,9 @@
     ///         `probation` some time after the last failure
     worker_health health(time_point now) const;
 
+    /// @return what the health is judged by, for the log
+    std::string describe() const;
+
 private:
     std::vector<job_id> failed_jobs_;
     time_point last_failure_{};
@@ -132,6 +138,8 @@
     /// Resources of all runs assigned there, including those that are stopping.
     resources used;
     run_history history;
+    /// As last written to the log.
+    worker_health reported_health = worker_health::healthy;
     worker_speed speed;
     /// Set once the lease of this worker instance has expired and its runs are lost.
     bool expired = false;
