Count one attempt for a run of a gang in which several members fail

Cause: update_job added up the failures of all members. Change: a member stores its latest failed run; a failure is counted only if no member has failed in that run yet. The sum over the members is then the number of failed runs, so a gang that truly fails is given up after its attempts, no later and no sooner.

--- a/src/baobabrack/workload/job_progress.cpp
+++ b/src/baobabrack/workload/job_progress.cpp
@@ -84,6 +84,7 @@
             .run = run_number{task.run()},
             .place = place_of(record, task.place()),
             .failures = task.failures(),
+            .failed_run = run_number{task.failed_run()},
             .checkpoint = task.checkpoint(),
             .crashes = from_wire(task.crashes())};
 }
@@ -106,6 +107,7 @@
     }
     record.set_run(task.run.get());
     record.set_failures(task.failures);
+    record.set_failed_run(task.failed_run.get());
     record.set_checkpoint(task.checkpoint);
     if (task.crashes != crash_record{}) {
         to_wire(task.crashes, *record.mutable_crashes());
@@ -146,6 +148,26 @@
     return progress;
 }
 
+void count_failure(const step_spec& step, std::vector<task_progress>& tasks, task_progress& task) {
+    if (!step.gang) {
+        ++task.failures;
+        return;
+    }
+    const bool counted = std::any_of(tasks.begin(), tasks.end(), [&](const task_progress& member) {
+        return member.failed_run == task.run;
+    });
+    task.failed_run = task.run;
+    task.failures += counted ? 0 : 1;
+}
+
+std::uint32_t failed_attempts(const step_spec& step, const std::vector<task_progress>& tasks) {
+    std::uint32_t failures = 0;
+    for (const auto& task : tasks) {
+        failures = step.gang ? failures + task.failures : std::max(failures, task.failures);
+    }
+    return failures;
+}
+
 bool is_step_done(const step_spec& step, const std::vector<task_progress>& tasks) {
     const auto is_done = [](const task_progress& task) { return task.phase == task_phase::done; };
     return step.gang ? std::any_of(tasks.begin(), tasks.end(), is_done)
--- a/src/baobabrack/workload/job_progress.hpp
+++ b/src/baobabrack/workload/job_progress.hpp
@@ -37,8 +37,11 @@
     /// The worker instance of the latest run. While the task waits: if that run was lost and its
     /// end has not arrived, else none.
     worker_instance place;
-    /// Number of runs that ended as failed.
+    /// Number of runs that ended as failed. A failed run of a gang is counted at one of the members
+    /// that failed in it.
     std::uint32_t failures = 0;
+    /// In a gang, the latest run that ended as failed here; zero if there is none.
+    run_number failed_run;
     /// Latest checkpoint; empty if there is none.
     std::string checkpoint;
     crash_record crashes;
@@ -61,6 +64,13 @@
 /// @return an occurrence whose tasks are all waiting
 occurrence_progress new_occurrence(const job_spec& spec, std::uint32_t number);
 
+/// Counts the failure of the task's latest run against the attempts of the step. All members of a
+/// gang may fail in the same run, which uses up one attempt.
+void count_failure(const step_spec& step, std::vector<task_progress>& tasks, task_progress& task);
+
+/// @return how many attempts of the step have failed: of the gang, or of the task with the most
+std::uint32_t failed_attempts(const step_spec& step, const std::vector<task_progress>& tasks);
+
 /// @return whether the step needs no further runs; a gang is done when one of its tasks is done
 bool is_step_done(const step_spec& step, const std::vector<task_progress>& tasks);
 
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -141,13 +141,10 @@
         for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
             const auto& spec = job.spec.steps[step];
             const auto& tasks = occurrence.steps[step];
-            std::uint32_t failures = 0;
-            for (const auto& task : tasks) {
-                failures = spec.gang ? failures + task.failures : std::max(failures, task.failures);
-            }
             if (is_step_done(spec, tasks)) {
                 continue;
             }
+            const auto failures = failed_attempts(spec, tasks);
             if (!spec.long_running && failures >= job.spec.most_attempts) {
                 failed = true;
                 job.failure_reason =
@@ -554,6 +551,7 @@
                       .run = run,
                       .place = facts.instance,
                       .failures = ref->task->failures,
+                      .failed_run = ref->task->failed_run,
                       .checkpoint = group.spec->gang ? gang_checkpoint : ref->task->checkpoint,
                       .crashes = ref->task->crashes};
         *ref->state = {.stored_run = ref->state->stored_run,
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -129,7 +129,7 @@
     }
     if (end.outcome == run_outcome::failed) {
         ++counts_.failed;
-        ++ref->task->failures;
+        count_failure(*ref->step, *ref->tasks, *ref->task);
         const auto after = now - ref->state->assigned_at;
         history.record_failure(end.task.step.job, after, now);
         if (run_history::is_quick_failure(after)) {
@@ -146,7 +146,7 @@
         ref.task->phase = task_phase::done;
     } else if (end.outcome == run_outcome::failed) {
         ++counts_.failed;
-        ++ref.task->failures;
+        count_failure(*ref.step, *ref.tasks, *ref.task);
     }
     if (!end.checkpoint.empty() && ref.step->checkpoints) {
         ref.task->checkpoint = end.checkpoint;
