Test workers on probation although lasting runs are on them

Cause: a worker on probation had to be idle to get a run. Evidence: job-waiting says "hosts left out as busy on probation: 11"; no host was reserved. Change: only runs assigned after the worker's last failure count as its test; a test run that outlasts the failures and makes progress is a success, since it may never end; a worker on probation gets the runs of one group in a pass, so that a worker that fails all it starts is not given a backlog.

--- a/src/baobabrack/workload/capacity_forecast.cpp
+++ b/src/baobabrack/workload/capacity_forecast.cpp
@@ -87,6 +87,13 @@
     }
 }
 
+void capacity_forecast::close_if_on_probation(const placed_tasks& places) {
+    for (const auto& placed : places) {
+        auto& host = available_[placed.host_index];
+        host.closed = host.closed || host.on_probation;
+    }
+}
+
 void capacity_forecast::reserve(const task_group& group, const future_placement& placement) {
     for (const auto& placed : placement.places) {
         auto& reserved = reservations_[placed.host_index];
--- a/src/baobabrack/workload/capacity_forecast.hpp
+++ b/src/baobabrack/workload/capacity_forecast.hpp
@@ -63,6 +63,9 @@
     /// Closes the hosts of a group on trial to all other groups.
     void close(const placed_tasks& places);
 
+    /// Closes those hosts of a placed group that are on probation.
+    void close_if_on_probation(const placed_tasks& places);
+
     /// Reserves the places of a group from the time of its placement on.
     void reserve(const task_group& group, const future_placement& placement);
 
--- a/src/baobabrack/workload/placement.hpp
+++ b/src/baobabrack/workload/placement.hpp
@@ -21,7 +21,10 @@
     resources excess;
     /// Used only if the other candidates don't suffice.
     bool degraded = false;
-    /// A run is on trial there, so no other run may start.
+    /// The worker is on probation and takes the runs of one group at a time.
+    bool on_probation = false;
+    /// A run is on trial there, or a group has been placed on a worker on probation, so no other
+    /// run may start.
     bool closed = false;
 };
 
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -417,12 +417,16 @@
     bool has_worker_for(const step_spec& step, const service_id& service) const;
     const service_id& service_for(const open_job& job, const step_spec& step) const;
     candidates find_candidates(const service_id& service, time_point now);
-    std::string_view exclusion_reason(const worker_state& worker, time_point now) const;
+    std::string_view exclusion_reason(const worker_state& worker, time_point now);
+    bool is_test_run(const worker_state& worker, const task_state& state) const;
+    bool has_test_run(const worker_state& worker);
+    void update_test_run(worker_state& worker, const reported_run& run, const task_ref& ref,
+                         time_point now);
     void report_health(time_point now);
     void report_waiting(const std::vector<waiting_group>& groups,
                         const std::map<service_id, placement_pass>& passes, time_point now);
     std::string waiting_reason(const waiting_group& waiting, const placement_pass& pass,
-                               const service_id& service) const;
+                               const service_id& service);
     bool placement_due(const workload_config& config, time_point now);
     std::vector<waiting_group> collect_waiting_groups(const workload_config& config, time_point now,
                                                       wall_time wall_now);
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -302,6 +302,7 @@
         auto& into = slow_worker && !worker.speed.from_gang() ? slow_candidates : usable_candidates;
         auto host_candidate = make_candidate(worker.facts, worker.used);
         host_candidate.degraded = slow_worker || health != worker_health::healthy;
+        host_candidate.on_probation = health == worker_health::probation;
         host_candidate.closed = closed_hosts.contains(host);
         into.push_back(host_candidate);
     }
@@ -576,6 +577,7 @@
                            "priority " + std::to_string(waiting.job->spec.priority));
     }
     pass.forecast.allocate(group, places);
+    pass.forecast.close_if_on_probation(places);
     if (group.on_trial) {
         pass.forecast.close(places);
         ++counts_.trials;
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -215,6 +215,7 @@
                 state.listed_since == time_point{} ? listed_at : state.listed_since;
             state.listed_until = std::max(state.listed_until, listed_at);
             update_trial(run.task, *ref);
+            update_test_run(worker, run, *ref, now);
         }
         if (!run.checkpoint.empty() && ref->step->checkpoints &&
             ref->task->checkpoint != run.checkpoint) {
@@ -231,6 +232,37 @@
     capacity_changed_ = capacity_changed_ || (had_orphaned_runs && !worker.has_orphaned_runs);
 }
 
+// Returns whether the run has been assigned since the worker's last failure, so that it shows
+// whether the worker fails all that it starts.
+bool scheduler::is_test_run(const worker_state& worker, const task_state& state) const {
+    return state.worker == &worker && state.assigned_at > worker.history.last_failure();
+}
+
+bool scheduler::has_test_run(const worker_state& worker) {
+    const auto& names = runs_by_host_[worker.facts.instance.host];
+    return std::any_of(names.begin(), names.end(), [&](const task_name& name) {
+        const auto ref = find(name);
+        return ref && is_test_run(worker, *ref->state);
+    });
+}
+
+// A test run that goes on for long enough and makes progress is a success before its end, which may
+// be far away or, for a long-running task, never come.
+void scheduler::update_test_run(worker_state& worker, const reported_run& run, const task_ref& ref,
+                                time_point now) {
+    if (worker.history.health(now) != worker_health::probation ||
+        !is_test_run(worker, *ref.state)) {
+        return;
+    }
+    const bool progresses =
+        ref.step->long_running ? run.percent > 0 : ref.state->measured_rate.has_measurement();
+    if (progresses &&
+        ref.state->listed_until - ref.state->listed_since >= worker.history.proof_time()) {
+        worker.history.record_success();
+        capacity_changed_ = true;
+    }
+}
+
 void scheduler::check_progress(const task_name& name, const reported_run& run, const task_ref& ref,
                                time_point now) {
     auto& measured = ref.state->measured_rate;
--- a/src/baobabrack/workload/scheduler_trials.cpp
+++ b/src/baobabrack/workload/scheduler_trials.cpp
@@ -68,8 +68,9 @@
 // Limits the share of the hosts that are closed by trials.
 bool scheduler::may_begin_trial(const placement_pass& pass) {
     const auto& hosts = pass.forecast.available();
-    const auto closed = static_cast<std::size_t>(std::count_if(
-        hosts.begin(), hosts.end(), [](const candidate& host) { return host.closed; }));
+    const auto closed = static_cast<std::size_t>(
+        std::count_if(hosts.begin(), hosts.end(),
+                      [](const candidate& host) { return host.closed && !host.on_probation; }));
     return closed < std::max<std::size_t>(1, hosts.size() / trial_host_divisor);
 }
 
--- a/src/baobabrack/workload/scheduler_waiting.cpp
+++ b/src/baobabrack/workload/scheduler_waiting.cpp
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-std::string_view scheduler::exclusion_reason(const worker_state& worker, time_point now) const {
+std::string_view scheduler::exclusion_reason(const worker_state& worker, time_point now) {
     if (worker.facts.draining) {
         return "draining";
     }
@@ -37,8 +37,8 @@
     if (health == worker_health::unhealthy) {
         return "unhealthy";
     }
-    if (health == worker_health::probation && worker.used != resources{}) {
-        return "busy on probation";
+    if (health == worker_health::probation && has_test_run(worker)) {
+        return "tested on probation";
     }
     return {};
 }
@@ -77,7 +77,7 @@
 }
 
 std::string scheduler::waiting_reason(const waiting_group& waiting, const placement_pass& pass,
-                                      const service_id& service) const {
+                                      const service_id& service) {
     const auto& group = waiting.group;
     std::string text = "step " + std::to_string(group.step.step) + ", " +
                        std::to_string(group.tasks.size()) +
--- a/src/baobabrack/workload/worker_table.cpp
+++ b/src/baobabrack/workload/worker_table.cpp
@@ -13,6 +13,8 @@
 // Time after a failure until an unhealthy worker enters probation, and how long a worker stays
 // degraded.
 constexpr duration probation_delay = std::chrono::seconds{3};
+// A run counts as a success once it has gone on for this many times as long as the failed ones.
+constexpr int proof_factor = 2;
 // A run that fails sooner suggests a faulty worker; a faulty task fails at any time of its run.
 constexpr duration quick_failure = std::chrono::milliseconds{500};
 // Weight of a new speed sample, such that a worker counts as slow only after two slow windows in a
@@ -84,6 +86,7 @@
 
 void run_history::record_success() {
     failed_jobs_.clear();
+    longest_failure_ = {};
     degraded_at_ = {};
 }
 
@@ -93,6 +96,7 @@
 
 void run_history::record_failure(const job_id& job, duration after, time_point now) {
     last_failure_ = now;
+    longest_failure_ = std::max(longest_failure_, after);
     if (is_quick_failure(after)) {
         degraded_at_ = now;
     }
@@ -114,6 +118,10 @@
     return degraded ? worker_health::degraded : worker_health::healthy;
 }
 
+duration run_history::proof_time() const {
+    return std::max(probation_delay, longest_failure_ * proof_factor);
+}
+
 std::string run_history::describe() const {
     return "jobs whose runs have failed there since the last success: " +
            std::to_string(failed_jobs_.size());
--- a/src/baobabrack/workload/worker_table.hpp
+++ b/src/baobabrack/workload/worker_table.hpp
@@ -36,7 +36,8 @@
     healthy,
     /// A recent fault may have been the worker's. Used only if no healthy worker is left.
     degraded,
-    /// Gets one run at a time, as a test.
+    /// Gets the runs of one group at a time, as a test. Runs that it had before its last failure do
+    /// not count: they say nothing about runs that start.
     probation,
     /// Gets no runs.
     unhealthy,
@@ -65,12 +66,22 @@
     ///         `probation` some time after the last failure
     worker_health health(time_point now) const;
 
+    /// @return when a run last failed there
+    time_point last_failure() const { return last_failure_; }
+
+    /// @return how long a run that starts after the last failure has to go on to count as a
+    /// success;
+    ///         longer than any of the failed runs went on
+    duration proof_time() const;
+
     /// @return what the health is judged by, for the log
     std::string describe() const;
 
 private:
     std::vector<job_id> failed_jobs_;
     time_point last_failure_{};
+    // The longest of the runs that have failed since the last success.
+    duration longest_failure_{};
     time_point degraded_at_{};
 };
 
