Expect no end of runs that last until they are cancelled

Cause: the forecast took the estimate of a lasting run, then a tenth of its age, for the time to its end, so the gang's reservation of all hosts always seemed to begin soon. Evidence: job-waiting names the reservation, and its start moves from 523 ms to 4,565 ms in 45 s. Change: a lasting run releases nothing in the forecast until it is stopped. On the same belief: a lasting task no longer fills hosts reserved for a gang by its short estimate, and does not wait for reserved hosts that are idle. A gang that waits for runs that end, or for a cancelled lasting job, still gets its hosts.

--- a/src/baobabrack/workload/capacity_forecast.hpp
+++ b/src/baobabrack/workload/capacity_forecast.hpp
@@ -38,7 +38,7 @@
     capacity_forecast() = default;
 
     /// @param available the free capacity of each host that accepts runs
-    /// @param releases  in any order
+    /// @param releases  in any order; runs whose end is not known have none
     capacity_forecast(candidates available, std::vector<expected_release> releases);
 
     /// @return the free capacity now, without regard to reservations
@@ -94,7 +94,7 @@
 };
 
 /// @return the earliest time at which a group fits if no other run starts, with its places, or
-///         nothing if it never fits
+///         nothing if it does not fit after all expected releases
 std::optional<future_placement> earliest_placement(const task_group& group,
                                                    const capacity_forecast& forecast,
                                                    time_point now,
--- a/src/baobabrack/workload/job_spec.cpp
+++ b/src/baobabrack/workload/job_spec.cpp
@@ -11,6 +11,9 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
+// Longer than any task that ends by itself.
+constexpr duration unlimited_run_time = std::chrono::hours{24 * 365};
+
 failure invalid(const std::string& message, const std::string& remedy) {
     return {failure_kind::invalid, message, remedy};
 }
@@ -89,6 +92,10 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+duration expected_occupation(const step_spec& step) {
+    return step.long_running ? unlimited_run_time : step.estimated;
+}
+
 bool has_long_running_step(const job_spec& spec) {
     return std::any_of(spec.steps.begin(), spec.steps.end(),
                        [](const step_spec& step) { return step.long_running; });
--- a/src/baobabrack/workload/job_spec.hpp
+++ b/src/baobabrack/workload/job_spec.hpp
@@ -78,6 +78,11 @@
 /// @return the estimated run time of the longest chain of dependent steps
 duration critical_path_time(const job_spec& spec);
 
+/// @return for how long a task of the step is expected to keep its resources; the estimate of a
+/// task
+///         that runs until its job is cancelled says nothing about that
+duration expected_occupation(const step_spec& step);
+
 /// @return whether a step of the job runs until the job is cancelled
 bool has_long_running_step(const job_spec& spec);
 
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -442,7 +442,7 @@
     bool is_guarantee_due(const waiting_group& waiting, time_point now) const;
     bool place_or_reserve(waiting_group& waiting, placement_pass& pass);
     capacity_forecast forecast_capacity(const service_id& service, time_point now);
-    time_point expected_end(const task_ref& ref, time_point now) const;
+    std::optional<time_point> expected_end(const task_ref& ref, time_point now) const;
     void mark_entitled(const workload_config& config, std::vector<waiting_group>& groups) const;
     void assign(waiting_group& waiting, const placed_tasks& places, placement_pass& pass);
     bool preempt_for(const waiting_group& waiting, placement_pass& pass,
--- a/src/baobabrack/workload/scheduler_capacity.cpp
+++ b/src/baobabrack/workload/scheduler_capacity.cpp
@@ -31,10 +31,14 @@
 
 }  // namespace
 
-time_point scheduler::expected_end(const task_ref& ref, time_point now) const {
+// Returns nothing for a run that lasts until its job is cancelled.
+std::optional<time_point> scheduler::expected_end(const task_ref& ref, time_point now) const {
     if (ref.state->stopping) {
         return now + stop_delay;
     }
+    if (ref.step->long_running) {
+        return std::nullopt;
+    }
     const auto& state = *ref.state;
     if (state.measured_rate.has_measurement() && state.measured_rate.current() > 0) {
         const auto left =
@@ -54,8 +58,10 @@
     std::vector<expected_release> releases;
     for (auto& [id, job] : jobs_) {
         for_each_task(job, [&](const task_ref& ref) {
-            if (const auto position = position_of(ref.state->worker, left)) {
-                releases.push_back({.time = expected_end(ref, now),
+            const auto position = position_of(ref.state->worker, left);
+            const auto end = position ? expected_end(ref, now) : std::nullopt;
+            if (end) {
+                releases.push_back({.time = *end,
                                     .host_index = *position,
                                     .amount = ref.step->per_task,
                                     .stopping = ref.state->stopping});
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -442,7 +442,7 @@
     if (delay_trial(waiting, pass)) {
         return;
     }
-    const auto usable = pass.forecast.available_for(pass.now, group.spec->estimated);
+    const auto usable = pass.forecast.available_for(pass.now, expected_occupation(*group.spec));
     if (group.spec->gang) {
         if (const auto fast_placement = place(group, usable, fast_only)) {
             assign(waiting, *fast_placement, pass);
@@ -497,11 +497,15 @@
     const auto& group = waiting.group;
     auto& forecast = pass.forecast;
     const auto now = pass.now;
-    const auto usable = forecast.available_for(now, group.spec->estimated);
+    // A long-running task serves only while it runs, so it does not wait for a better host, nor
+    // beside one that is reserved for a group that may begin later.
+    const bool starts_anywhere = group.spec->long_running;
+    const auto usable =
+        starts_anywhere ? forecast.available() : forecast.available_for(now, group.spec->estimated);
     const bool urgent = waiting.job->spec.priority == 0;
     const bool guarantee_due = is_guarantee_due(waiting, now);
     const auto slow_placement = place(group, usable, {});
-    if (slow_placement && guarantee_due) {
+    if (slow_placement && (guarantee_due || starts_anywhere)) {
         assign(waiting, *slow_placement, pass);
         return true;
     }
