Let guaranteed jobs reclaim what others borrow at priority 0

Cause: only runs of a larger priority number could be preempted. Evidence: job-waiting says "guaranteed; no room on 11 hosts; runs that may be preempted: 0", so the guarantee was recognised and nothing was reserved. Change: runs of priority 0 beyond the guarantee of their workspace are victims for guaranteed jobs, after those of lower priority. A workspace keeps the runs with the most work to lose that fit into its guarantee together; one that needs no more than its guarantee loses nothing.

--- a/src/baobabrack/workload/preemption.cpp
+++ b/src/baobabrack/workload/preemption.cpp
@@ -25,7 +25,8 @@
 /// Greedy search for the victims of one group, host by host.
 class preemption_search {
 public:
-    preemption_search(const task_group& group, candidates free, const std::vector<victim>& victims)
+    preemption_search(const task_group& group, candidates free, const std::vector<victim>& victims,
+                      victim_choice choice)
         : group_(group),
           free_(std::move(free)),
           victims_(victims),
@@ -33,6 +34,9 @@
           placed_on_host_(free_.size()),
           victims_on_host_(free_.size()) {
         for (std::size_t index = 0; index < victims_.size(); ++index) {
+            if (victims_[index].borrowing && choice == victim_choice::lower_priority) {
+                continue;
+            }
             for (const auto& [host, amount] : victims_[index].allocations) {
                 victims_on_host_[host].push_back(index);
             }
@@ -205,15 +209,18 @@
 
 std::optional<preemption_plan> find_preemption(const task_group& group, const candidates& free,
                                                const std::vector<victim>& victims,
-                                               const placement_constraints& constraints) {
+                                               const placement_constraints& constraints,
+                                               victim_choice choice) {
     constexpr auto no_limit = std::numeric_limits<double>::max();
     const auto& data_rack = group.spec->data_rack;
     if (!data_rack.get().empty() && !constraints.allow_remote) {
-        return preemption_search(group, free, victims).run(hosts_in(free, &data_rack), no_limit);
+        return preemption_search(group, free, victims, choice)
+            .run(hosts_in(free, &data_rack), no_limit);
     }
     const bool one_rack = group.spec->gang && group.spec->rack_local;
     if (!one_rack || constraints.allow_multiple_racks) {
-        return preemption_search(group, free, victims).run(hosts_in(free, nullptr), no_limit);
+        return preemption_search(group, free, victims, choice)
+            .run(hosts_in(free, nullptr), no_limit);
     }
     std::optional<preemption_plan> best;
     std::set<rack_id> racks;
@@ -221,7 +228,7 @@
         racks.insert(host.facts->rack);
     }
     for (const auto& rack : racks) {
-        auto plan = preemption_search(group, free, victims)
+        auto plan = preemption_search(group, free, victims, choice)
                         .run(hosts_in(free, &rack), best ? best->lost_work : no_limit);
         if (plan) {
             best = std::move(plan);
--- a/src/baobabrack/workload/preemption.hpp
+++ b/src/baobabrack/workload/preemption.hpp
@@ -17,8 +17,13 @@
     std::vector<std::pair<std::size_t, resources>> allocations;
     /// Work lost by stopping the runs, in processor-seconds.
     double lost_work = 0;
+    /// The runs have priority 0 and use accelerators beyond the guarantee of their workspace.
+    bool borrowing = false;
 };
 
+/// Which victims may be stopped.
+enum class victim_choice { lower_priority, lower_priority_or_borrowing };
+
 /// Victims to stop, and the places for the group that are free afterwards.
 struct preemption_plan {
     /// Indices into the list of victims.
@@ -39,10 +44,11 @@
 ///
 /// @param free    the free capacity, including capacity that is already being released
 /// @param victims the runs that may be stopped
-/// @return nothing if the group doesn't fit even when all victims are stopped
-std::optional<preemption_plan> find_preemption(const task_group& group, const candidates& free,
-                                               const std::vector<victim>& victims,
-                                               const placement_constraints& constraints);
+/// @param choice  which of the victims are considered
+/// @return nothing if the group doesn't fit even when all these victims are stopped
+std::optional<preemption_plan> find_preemption(
+    const task_group& group, const candidates& free, const std::vector<victim>& victims,
+    const placement_constraints& constraints, victim_choice choice = victim_choice::lower_priority);
 
 }  // namespace baobabrack::workload
 
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "baobabrack/workload/borrowed_capacity.hpp"
 #include "baobabrack/workload/capacity_forecast.hpp"
 #include "baobabrack/workload/crash_record.hpp"
 #include "baobabrack/workload/job_table.hpp"
@@ -354,6 +355,8 @@
     struct placement_pass {
         capacity_forecast forecast;
         time_point now;
+        /// What each workspace uses of its guarantee.
+        const guarantee_uses* guarantees = nullptr;
         /// The runs that a group may preempt, by the priority of the group; filled on first use.
         std::map<std::uint32_t, std::vector<victim>> victims;
     };
@@ -428,11 +431,13 @@
     std::string waiting_reason(const waiting_group& waiting, const placement_pass& pass,
                                const service_id& service);
     bool placement_due(const workload_config& config, time_point now);
-    std::vector<waiting_group> collect_waiting_groups(const workload_config& config, time_point now,
-                                                      wall_time wall_now);
+    guarantee_uses measure_guarantees(const workload_config& config) const;
+    std::vector<waiting_group> collect_waiting_groups(const guarantee_uses& guarantees,
+                                                      time_point now, wall_time wall_now);
     void add_waiting_groups(open_job& job, time_point now, std::vector<waiting_group>& into);
     std::vector<host_id> find_excluded_hosts(const open_job& job, time_point now) const;
-    void place_groups(std::vector<waiting_group>& groups, time_point now);
+    void place_groups(std::vector<waiting_group>& groups, const guarantee_uses& guarantees,
+                      time_point now);
     void separate_trials(std::vector<waiting_group>& groups) const;
     bool may_begin_trial(const placement_pass& pass);
     bool delay_trial(waiting_group& waiting, const placement_pass& pass);
@@ -443,11 +448,13 @@
     bool place_or_reserve(waiting_group& waiting, placement_pass& pass);
     capacity_forecast forecast_capacity(const service_id& service, time_point now);
     std::optional<time_point> expected_end(const task_ref& ref, time_point now) const;
-    void mark_entitled(const workload_config& config, std::vector<waiting_group>& groups) const;
+    static void mark_entitled(const guarantee_uses& guarantees, std::vector<waiting_group>& groups);
     void assign(waiting_group& waiting, const placed_tasks& places, placement_pass& pass);
     bool preempt_for(const waiting_group& waiting, placement_pass& pass,
                      const placement_constraints& limits);
     const std::vector<victim>& victims_for(const waiting_group& waiting, placement_pass& pass);
+    double lost_work_of(const task_ref& ref, time_point now) const;
+    std::set<task_name> find_borrowing_runs(const guarantee_uses& uses, time_point now);
     void stop_victim(const victim& chosen);
     void expire_silent_workers(time_point now);
     duration lease_expiry_bound(duration lease) const;
--- a/src/baobabrack/workload/scheduler_capacity.cpp
+++ b/src/baobabrack/workload/scheduler_capacity.cpp
@@ -72,8 +72,9 @@
 }
 
 // Preempts runs of lower priority for a group of priority 0 and reserves the freed capacity for it.
-// Always does so for a group within its workspace's guarantee; for other groups only if the lost
-// work is small against that of the group.
+// Always does so for a group within its workspace's guarantee, which may also reclaim accelerators
+// that other workspaces use beyond theirs; for other groups only if the lost work is small against
+// that of the group.
 bool scheduler::preempt_for(const waiting_group& waiting, placement_pass& pass,
                             const placement_constraints& limits) {
     const auto& group = waiting.group;
@@ -86,7 +87,11 @@
         return true;
     }
     const auto& victims = victims_for(waiting, pass);
-    auto plan = find_preemption(group, free, victims, limits);
+    auto plan = find_preemption(group, free, victims, limits, victim_choice::lower_priority);
+    if (!plan && waiting.entitled) {
+        plan = find_preemption(group, free, victims, limits,
+                               victim_choice::lower_priority_or_borrowing);
+    }
     const auto own_work = work_per_second(group.spec->per_task) *
                           to_seconds(group.spec->estimated) *
                           static_cast<double>(group.tasks.size());
@@ -117,8 +122,9 @@
     if (!added) {
         return victims;
     }
+    const auto borrowing = find_borrowing_runs(*pass.guarantees, pass.now);
     for (auto& [id, job] : jobs_) {
-        if (job.spec.priority <= priority) {
+        if (job.spec.priority < priority) {
             continue;
         }
         std::map<std::pair<std::uint32_t, std::uint32_t>, victim> gangs;
@@ -127,16 +133,18 @@
             if (!position || pass.forecast.available()[*position].closed || ref.state->stopping) {
                 return;
             }
+            const auto name = name_of(ref);
+            const bool borrows = job.spec.priority == priority;
+            if (borrows && !borrowing.contains(name)) {
+                return;
+            }
             victim single;
             auto& into =
                 ref.step->gang ? gangs[std::pair{ref.occurrence, ref.step_number}] : single;
-            into.tasks.push_back(name_of(ref));
+            into.tasks.push_back(name);
             into.allocations.emplace_back(*position, ref.step->per_task);
-            const auto elapsed = to_seconds(pass.now - ref.state->assigned_at);
-            const auto unsaved_work =
-                ref.step->checkpoints ? std::min(elapsed, checkpoint_loss) : elapsed;
-            const auto lost = unsaved_work + repeat_loss * ref.state->preemption_count;
-            into.lost_work += lost * work_per_second(ref.step->per_task);
+            into.lost_work += lost_work_of(ref, pass.now);
+            into.borrowing = borrows;
             if (!ref.step->gang) {
                 victims.push_back(std::move(single));
             }
@@ -148,12 +156,60 @@
     return victims;
 }
 
+// Returns the work that is lost by stopping a run, in processor-seconds.
+double scheduler::lost_work_of(const task_ref& ref, time_point now) const {
+    const auto elapsed = to_seconds(now - ref.state->assigned_at);
+    const auto unsaved_work = ref.step->checkpoints ? std::min(elapsed, checkpoint_loss) : elapsed;
+    const auto lost = unsaved_work + repeat_loss * ref.state->preemption_count;
+    return lost * work_per_second(ref.step->per_task);
+}
+
+// Returns the runs of priority 0, in all services, that use accelerators beyond the guarantee of
+// their workspace. Runs that are being stopped give theirs back.
+std::set<task_name> scheduler::find_borrowing_runs(const guarantee_uses& uses, time_point now) {
+    std::vector<run_unit> units;
+    for (auto& [id, job] : jobs_) {
+        const auto use = uses.find(job.spec.workspace);
+        if (job.spec.priority != 0 || (use != uses.end() && use->second.is_within())) {
+            continue;
+        }
+        std::map<std::pair<std::uint32_t, std::uint32_t>, run_unit> gangs;
+        for_each_task(job, [&](const task_ref& ref) {
+            if (ref.task->phase != task_phase::assigned || ref.state->stopping) {
+                return;
+            }
+            run_unit single;
+            auto& into =
+                ref.step->gang ? gangs[std::pair{ref.occurrence, ref.step_number}] : single;
+            into.workspace = job.spec.workspace;
+            into.tasks.push_back(name_of(ref));
+            into.accelerators += ref.step->per_task.accelerators.get();
+            into.lost_work += lost_work_of(ref, now);
+            if (!ref.step->gang) {
+                units.push_back(std::move(single));
+            }
+        });
+        for (auto& [step, gang] : gangs) {
+            units.push_back(std::move(gang));
+        }
+    }
+    std::set<task_name> runs;
+    for (const auto& unit : find_borrowing_units(units, uses)) {
+        runs.insert(unit.tasks.begin(), unit.tasks.end());
+    }
+    return runs;
+}
+
 void scheduler::stop_victim(const victim& chosen) {
     for (const auto& name : chosen.tasks) {
         if (const auto ref = find(name)) {
             ++counts_.preempted;
             ++ref->state->preemption_count;
-            stop_run(name, *ref, "preempted by a job of priority 0");
+            stop_run(
+                name, *ref,
+                chosen.borrowing
+                    ? "reclaimed by a guaranteed job; its workspace uses more than its guarantee"
+                    : "preempted by a job of priority 0");
         }
     }
 }
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -85,8 +85,9 @@
     }
     correct_run_times();
     update_services(*config);
-    auto groups = collect_waiting_groups(*config, now, wall_now);
-    place_groups(groups, now);
+    const auto guarantees = measure_guarantees(*config);
+    auto groups = collect_waiting_groups(guarantees, now, wall_now);
+    place_groups(groups, guarantees, now);
 }
 
 bool scheduler::placement_due(const workload_config& config, time_point now) {
@@ -328,7 +329,7 @@
 }
 
 std::vector<scheduler::waiting_group> scheduler::collect_waiting_groups(
-    const workload_config& config, time_point now, wall_time wall_now) {
+    const guarantee_uses& guarantees, time_point now, wall_time wall_now) {
     std::vector<waiting_group> groups;
     for (auto& [id, job] : jobs_) {
         if (job.cancelled || job.failed) {
@@ -346,7 +347,7 @@
             groups.push_back(std::move(waiting));
         }
     }
-    mark_entitled(config, groups);
+    mark_entitled(guarantees, groups);
     std::stable_sort(groups.begin(), groups.end(),
                      [](const waiting_group& left, const waiting_group& right) {
                          return std::tuple(left.job->spec.priority, !left.entitled, left.rank) <
@@ -393,11 +394,9 @@
     }
 }
 
-// Marks the groups of priority 0 whose workspace stays within its guarantee with all its open jobs
-// of priority 0.
-void scheduler::mark_entitled(const workload_config& config,
-                              std::vector<waiting_group>& groups) const {
-    std::map<workspace_id, std::uint64_t> demand;
+// Returns what all open jobs of priority 0 need, by workspace.
+guarantee_uses scheduler::measure_guarantees(const workload_config& config) const {
+    guarantee_uses uses;
     for (const auto& [id, job] : jobs_) {
         if (job.spec.priority != 0) {
             continue;
@@ -407,17 +406,28 @@
             max_accelerators = std::max(
                 max_accelerators, std::uint64_t{step.tasks} * step.per_task.accelerators.get());
         }
-        demand[job.spec.workspace] += max_accelerators;
+        uses[job.spec.workspace].demand += max_accelerators;
     }
+    for (auto& [id, use] : uses) {
+        const auto* workspace = config.find_workspace(id);
+        use.guaranteed = workspace == nullptr ? 0 : workspace->guaranteed.get();
+    }
+    return uses;
+}
+
+// Marks the groups of priority 0 whose workspace stays within its guarantee with all its open jobs
+// of priority 0.
+void scheduler::mark_entitled(const guarantee_uses& guarantees,
+                              std::vector<waiting_group>& groups) {
     for (auto& waiting : groups) {
         const auto& spec = waiting.job->spec;
-        const auto* workspace = config.find_workspace(spec.workspace);
-        waiting.entitled = spec.priority == 0 && workspace != nullptr &&
-                           demand[spec.workspace] <= workspace->guaranteed.get();
+        const auto use = guarantees.find(spec.workspace);
+        waiting.entitled = spec.priority == 0 && use != guarantees.end() && use->second.is_within();
     }
 }
 
-void scheduler::place_groups(std::vector<waiting_group>& groups, time_point now) {
+void scheduler::place_groups(std::vector<waiting_group>& groups, const guarantee_uses& guarantees,
+                             time_point now) {
     std::map<service_id, placement_pass> passes;
     for (auto& waiting : groups) {
         const auto& service = service_for(*waiting.job, *waiting.group.spec);
@@ -427,6 +437,7 @@
                 passes
                     .emplace(service, placement_pass{.forecast = forecast_capacity(service, now),
                                                      .now = now,
+                                                     .guarantees = &guarantees,
                                                      .victims = {}})
                     .first;
         }
