Know before an append whether the store takes it, and isolate the job at fault

Cause: all due occurrences begin at once and make the job's progress record larger than the store takes; the refusal was taken for a lost answer and the batch repeated by each leader in turn. Evidence: append-unanswered has "the store answered with status 400", 293,300 bytes. Change: limits of the store are settings. Submissions that could not be stored are refused; occurrences begin as far as the record holds them; checkpoints, then crash records, are left out; a job that fits in no detail is given up alone; batches are divided, ends acknowledged after the last part; a refusal as invalid halves the batch down to one job, which is given up once the store has taken another append.

--- a/scenarios/fakes/fake_store.cpp
+++ b/scenarios/fakes/fake_store.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "baobabrack/keyed/record_sizes.hpp"
+
 namespace baobabrack::fakes {
 
 namespace {
@@ -13,6 +15,7 @@
 constexpr double chance_scale = 1e6;
 
 const failure unavailable{failure_kind::unavailable, "the store refuses", "try again"};
+const failure too_large{failure_kind::invalid, "the records are too large", "make them smaller"};
 const failure timed_out{failure_kind::timed_out, "the store is silent", "read what is stored"};
 
 }  // namespace
@@ -92,6 +95,10 @@
     if (inject_fault(done, request.timeout)) {
         return;
     }
+    if (!fits(store_.limits, request.records)) {
+        schedule_if_alive(delay, [done = std::move(done)] { done(too_large); });
+        return;
+    }
     const auto chance =
         static_cast<double>(loop_.random() % std::uint64_t{1'000'000}) / chance_scale;
     if (chance < active_faults.lost_answers) {
--- a/scenarios/fakes/fake_store.hpp
+++ b/scenarios/fakes/fake_store.hpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,9 @@
 public:
     explicit fake_store(runtime& loop) : loop_(loop) {}
 
+    /// The links refuse a larger append, as the real store does.
+    store_limits limits;
+
     struct topic {
         std::vector<keyed_record> records;
         /// Offset of the oldest record that has not expired.
@@ -63,7 +67,10 @@
 
     faults active_faults;
     duration delay = std::chrono::milliseconds{4};
+    /// What the process takes for the store's limits, if these are others.
+    std::optional<store_limits> announced_limits;
 
+    store_limits limits() const override { return announced_limits.value_or(store_.limits); }
     void append(keyed_append request, append_callback done) override;
     void read(const topic_id& topic, log_offset from, duration wait, duration timeout,
               page_callback done) override;
--- a/src/baobabrack/daemon/main.cpp
+++ b/src/baobabrack/daemon/main.cpp
@@ -29,6 +29,9 @@
     std::string settings_file;
     std::string defaults_role;
     bool check = false;
+    /// If not zero, these replace the limits in the settings of a scheduler.
+    std::uint64_t store_record_bytes = 0;
+    std::uint64_t store_request_bytes = 0;
 };
 
 log_level parse_log_level(const std::string& name) {
@@ -90,7 +93,7 @@
         std::cout << print_json(default_settings(command.defaults_role));
         return 0;
     }
-    const auto parsed = read_settings_file(command.settings_file);
+    auto parsed = read_settings_file(command.settings_file);
     if (!parsed.problems.empty()) {
         std::cerr << describe(parsed.problems);
         return exit_usage;
@@ -99,6 +102,12 @@
         std::cout << command.settings_file << ": settings are valid; nothing was started\n";
         return 0;
     }
+    if (parsed.settings.has_scheduler() && command.store_record_bytes > 0) {
+        parsed.settings.mutable_scheduler()->set_store_record_bytes(command.store_record_bytes);
+    }
+    if (parsed.settings.has_scheduler() && command.store_request_bytes > 0) {
+        parsed.settings.mutable_scheduler()->set_store_request_bytes(command.store_request_bytes);
+    }
     return run(parsed.settings, command.settings_file);
 }
 
@@ -113,6 +122,12 @@
                          ->envname("BAOBABRACK_CONFIG");
     auto* defaults = app.add_option("--print-defaults", command.defaults_role,
                                     "print the default settings of a role");
+    app.add_option("--store-record-bytes", command.store_record_bytes,
+                   "what the store takes in one record; scheduler only")
+        ->envname("BAOBABRACK_STORE_RECORD_BYTES");
+    app.add_option("--store-request-bytes", command.store_request_bytes,
+                   "what the store takes in one append; scheduler only")
+        ->envname("BAOBABRACK_STORE_REQUEST_BYTES");
     defaults->check(CLI::IsMember({"entry", "guard"}));
     app.add_flag("--check", command.check, "check the settings and exit")->needs(settings);
     try {
--- a/src/baobabrack/daemon/scheduler_program.cpp
+++ b/src/baobabrack/daemon/scheduler_program.cpp
@@ -68,6 +68,17 @@
             .seeds = seed_endpoints(settings.scheduler())};
 }
 
+store_limits limits_of(const wire::SchedulerSettings& settings) {
+    store_limits limits;
+    if (settings.store_record_bytes() > 0) {
+        limits.record_bytes = settings.store_record_bytes();
+    }
+    if (settings.store_request_bytes() > 0) {
+        limits.request_bytes = settings.store_request_bytes();
+    }
+    return limits;
+}
+
 /// Replies 503 to every call: workers announce themselves to the guard on their host.
 class unavailable_handler : public http_handler {
 public:
@@ -83,7 +94,7 @@
         : settings_(settings.scheduler()),
           loop_(new_seed()),
           client_(loop_, {.connect_timeout = 700ms, .acknowledge_timeout = 1500ms}),
-          store_(client_, to_endpoint(settings_.store()), metrics_),
+          store_(client_, to_endpoint(settings_.store()), limits_of(settings_), metrics_),
           config_(loop_, store_),
           network_(loop_, {.id = settings.id(), .endpoint = settings_.zmq_endpoint()}),
           node_(node_options(settings), {.loop = loop_,
--- a/src/baobabrack/keyed/conditional_writer.cpp
+++ b/src/baobabrack/keyed/conditional_writer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "baobabrack/keyed/record_sizes.hpp"
 #include "baobabrack/observe/json_log.hpp"
 
 namespace baobabrack {
@@ -27,9 +28,30 @@
     done_ = std::move(done);
     busy_ = true;
     attempts_ = 0;
+    if (!fits(log_.limits(), records_)) {
+        log_rejection("the batch is larger than the store's limits");
+        retry_timer_.arm(duration::zero(), [this] { finish(outcome::rejected); });
+        return;
+    }
     send();
 }
 
+void conditional_writer::log_rejection(const std::string& reason) const {
+    const auto largest = std::max_element(records_.begin(), records_.end(),
+                                          [](const keyed_record& left, const keyed_record& right) {
+                                              return framed_size(left) < framed_size(right);
+                                          });
+    log_event event(log_level::error, "append-rejected");
+    event.field("topic", options_.topic.get())
+        .field("reason", reason)
+        .field("records", static_cast<std::uint64_t>(records_.size()))
+        .field("bytes", static_cast<std::uint64_t>(framed_size(records_)));
+    if (largest != records_.end()) {
+        event.field("largest_key", largest->key)
+            .field("largest_bytes", static_cast<std::uint64_t>(framed_size(*largest)));
+    }
+}
+
 void conditional_writer::send() {
     ++attempts_;
     const auto sent_at = loop_.now();
@@ -46,6 +68,12 @@
 }
 
 void conditional_writer::handle_reply(const result<append_reply>& reply, time_point sent_at) {
+    if (!reply && reply.error().kind == failure_kind::invalid) {
+        // An earlier attempt with the same records would have been refused as well.
+        log_rejection(reply.error().message);
+        finish(outcome::rejected);
+        return;
+    }
     if (!reply) {
         if (attempts_ == 1) {
             log_event(log_level::warning, "append-unanswered")
@@ -54,7 +82,7 @@
                 .field("reason", to_string(reply.error().kind))
                 .field("detail", reply.error().message)
                 .field("records", static_cast<std::uint64_t>(records_.size()))
-                .field("bytes", static_cast<std::uint64_t>(stored_size(records_)));
+                .field("bytes", static_cast<std::uint64_t>(framed_size(records_)));
         }
         retry([this] { send(); });
         return;
--- a/src/baobabrack/keyed/conditional_writer.hpp
+++ b/src/baobabrack/keyed/conditional_writer.hpp
@@ -24,6 +24,9 @@
         stored,
         /// Another writer has extended the topic. This writer must stop appending.
         superseded,
+        /// The store does not take the batch: it is larger than its limits, or was refused as
+        /// invalid. Nothing was stored, and the same batch would be refused again.
+        rejected,
     };
     struct options {
         topic_id topic;
@@ -58,6 +61,7 @@
 
 private:
     void send();
+    void log_rejection(const std::string& reason) const;
     void handle_reply(const result<append_reply>& reply, time_point sent_at);
     void read_back();
     void handle_page(const result<keyed_page>& page);
--- a/src/baobabrack/keyed/keyed_log.hpp
+++ b/src/baobabrack/keyed/keyed_log.hpp
@@ -3,7 +3,6 @@
 
 #include <cstddef>
 #include <functional>
-#include <numeric>
 #include <optional>
 #include <string>
 #include <vector>
@@ -24,18 +23,6 @@
     friend bool operator==(const keyed_record&, const keyed_record&) = default;
 };
 
-/// @return the size of the key and the value, in bytes
-inline std::size_t stored_size(const keyed_record& record) {
-    return record.key.size() + record.value.size();
-}
-
-/// @return the sum over the records, in bytes
-inline std::size_t stored_size(const std::vector<keyed_record>& records) {
-    return std::accumulate(
-        records.begin(), records.end(), std::size_t{0},
-        [](std::size_t sum, const keyed_record& record) { return sum + stored_size(record); });
-}
-
 struct keyed_entry {
     log_offset offset;
     keyed_record record;
@@ -60,6 +47,13 @@
     log_offset end;
 };
 
+/// What the store takes at most, in bytes.
+struct store_limits {
+    std::size_t record_bytes = 262'144;
+    /// Sum of the records of one append.
+    std::size_t request_bytes = 2'097'152;
+};
+
 struct keyed_page {
     std::vector<keyed_entry> entries;
     /// End offset of the topic at the time of the read.
@@ -73,7 +67,8 @@
 ///
 /// Failures: `unavailable` (the call had no effect), `timed_out` (the call may have taken effect or
 /// may still do so), `expired` (the offset is no longer retained), `exhausted` (a limit was
-/// reached; the call had no effect).
+/// reached; the call had no effect), `invalid` (the store refuses these records; the call had no
+/// effect).
 class keyed_log {
 public:
     using append_callback = std::function<void(result<append_reply>)>;
@@ -84,6 +79,9 @@
     keyed_log& operator=(const keyed_log&) = delete;
     virtual ~keyed_log() = default;
 
+    /// @return what an append may hold; a larger one is refused as `invalid`
+    virtual store_limits limits() const = 0;
+
     /// Appends records. The callback runs once, asynchronously, on the event loop.
     virtual void append(keyed_append request, append_callback done) = 0;
 
--- a/src/baobabrack/workload/job_frontend.cpp
+++ b/src/baobabrack/workload/job_frontend.cpp
@@ -141,7 +141,11 @@
     spec.target_completion = to.queue->target_completion;
     spec.submitted = loop_.wall_now();
     const auto id = spec.id;
-    if (const auto valid = validate(spec); !valid) {
+    auto valid = validate(spec);
+    if (valid) {
+        valid = node_.check_storable(spec);
+    }
+    if (!valid) {
         const frontend_reply reply{.status = reply_status::invalid,
                                    .reason = valid.error().message};
         record_reply("submit", id, reply);
--- a/src/baobabrack/workload/job_progress.cpp
+++ b/src/baobabrack/workload/job_progress.cpp
@@ -89,7 +89,8 @@
             .crashes = from_wire(task.crashes())};
 }
 
-void to_wire(const task_progress& task, place_numbers& places, wire::WorkloadTask& record) {
+void to_wire(const task_progress& task, progress_detail detail, place_numbers& places,
+             wire::WorkloadTask& record) {
     switch (task.phase) {
         case task_phase::waiting:
             record.set_phase(wire::WorkloadTask::WAITING);
@@ -108,17 +109,11 @@
     record.set_run(task.run.get());
     record.set_failures(task.failures);
     record.set_failed_run(task.failed_run.get());
-    record.set_checkpoint(task.checkpoint);
-    if (task.crashes != crash_record{}) {
-        to_wire(task.crashes, *record.mutable_crashes());
+    if (detail == progress_detail::full) {
+        record.set_checkpoint(task.checkpoint);
     }
-}
-
-void mark_done(occurrence_progress& occurrence) {
-    for (auto& tasks : occurrence.steps) {
-        for (auto& task : tasks) {
-            task.phase = task_phase::done;
-        }
+    if (detail != progress_detail::states_only && task.crashes != crash_record{}) {
+        to_wire(task.crashes, *record.mutable_crashes());
     }
 }
 
@@ -175,6 +170,9 @@
 }
 
 bool is_occurrence_done(const job_spec& spec, const occurrence_progress& progress) {
+    if (progress.done) {
+        return true;
+    }
     for (std::size_t step = 0; step < spec.steps.size(); ++step) {
         if (!is_step_done(spec.steps[step], progress.steps[step])) {
             return false;
@@ -197,11 +195,11 @@
     progress.phase = static_cast<job_phase>(record.state());
     progress.ended = wall_time{milliseconds{record.ended_unix_ms()}};
     for (const auto& stored : record.occurrences()) {
-        auto occurrence = new_occurrence(spec, stored.number());
-        occurrence.done = stored.done();
         if (stored.done()) {
-            mark_done(occurrence);
+            progress.occurrences.push_back({.number = stored.number(), .done = true, .steps = {}});
+            continue;
         }
+        auto occurrence = new_occurrence(spec, stored.number());
         const auto steps = std::min<std::size_t>(occurrence.steps.size(),
                                                  static_cast<std::size_t>(stored.steps_size()));
         for (std::size_t step = 0; step < steps; ++step) {
@@ -218,7 +216,7 @@
     return progress;
 }
 
-wire::WorkloadProgress to_wire(const job_progress& progress) {
+wire::WorkloadProgress to_wire(const job_progress& progress, progress_detail detail) {
     wire::WorkloadProgress record;
     record.set_state(static_cast<wire::WorkloadProgress::State>(progress.phase));
     record.set_ended_unix_ms(static_cast<std::uint64_t>(progress.ended.time_since_epoch().count()));
@@ -236,11 +234,35 @@
         for (const auto& step : occurrence.steps) {
             auto& tasks = *stored.add_steps();
             for (const auto& task : step) {
-                to_wire(task, places, *tasks.add_tasks());
+                to_wire(task, detail, places, *tasks.add_tasks());
             }
         }
     }
     return record;
 }
 
+std::string_view to_string(progress_detail detail) {
+    switch (detail) {
+        case progress_detail::full:
+            return "full";
+        case progress_detail::no_checkpoints:
+            return "without checkpoints";
+        case progress_detail::states_only:
+            return "without checkpoints and crash records";
+    }
+    return "unknown";
+}
+
+std::optional<encoded_progress> encode_progress(const job_progress& progress,
+                                                std::size_t max_bytes) {
+    for (const auto detail :
+         {progress_detail::full, progress_detail::no_checkpoints, progress_detail::states_only}) {
+        auto value = to_wire(progress, detail).SerializeAsString();
+        if (value.size() <= max_bytes) {
+            return encoded_progress{.value = std::move(value), .detail = detail};
+        }
+    }
+    return std::nullopt;
+}
+
 }  // namespace baobabrack::workload
--- a/src/baobabrack/workload/job_progress.hpp
+++ b/src/baobabrack/workload/job_progress.hpp
@@ -1,6 +1,8 @@
 #ifndef BAOBABRACK_WORKLOAD_JOB_PROGRESS_HPP
 #define BAOBABRACK_WORKLOAD_JOB_PROGRESS_HPP
 
+#include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,9 +51,9 @@
 
 struct occurrence_progress {
     std::uint32_t number = 0;
-    /// All steps are done and no run is active. The tasks of a done occurrence are not stored.
+    /// All steps are done and no run is active.
     bool done = false;
-    /// Indexed by step, then by task.
+    /// Indexed by step, then by task. Empty if the occurrence is done.
     std::vector<std::vector<task_progress>> steps;
 };
 
@@ -80,9 +82,31 @@
 /// @return whether a run of the occurrence may be active
 bool has_assigned_tasks(const occurrence_progress& progress);
 
+/// How much of a job's progress is stored.
+enum class progress_detail {
+    full,
+    /// Without checkpoints: if another scheduler takes over, work since the start is lost.
+    no_checkpoints,
+    /// Without checkpoints and records of crashes: suspicions are lost as well.
+    states_only,
+};
+
+std::string_view to_string(progress_detail detail);
+
 /// @return progress with the steps and tasks of the job; tasks missing in the record are waiting
 job_progress from_wire(const job_spec& spec, const wire::WorkloadProgress& record);
-wire::WorkloadProgress to_wire(const job_progress& progress);
+wire::WorkloadProgress to_wire(const job_progress& progress,
+                               progress_detail detail = progress_detail::full);
+
+/// The value of a progress record.
+struct encoded_progress {
+    std::string value;
+    progress_detail detail = progress_detail::full;
+};
+
+/// @return the progress with as much detail as fits, or nothing if it is too large in any case
+std::optional<encoded_progress> encode_progress(const job_progress& progress,
+                                                std::size_t max_bytes);
 
 }  // namespace baobabrack::workload
 
--- a/src/baobabrack/workload/job_spec.cpp
+++ b/src/baobabrack/workload/job_spec.cpp
@@ -92,6 +92,31 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+std::size_t expected_progress_bytes(const job_spec& spec, std::size_t begun) {
+    std::size_t occurrence_bytes = 0;
+    for (const auto& step : spec.steps) {
+        occurrence_bytes += stored_step_bytes + step.tasks * stored_task_bytes;
+    }
+    const auto occurrences = std::max<std::size_t>(spec.occurrences, 1);
+    return begun * occurrence_bytes + occurrences * stored_occurrence_bytes;
+}
+
+result<void> check_storable(const job_spec& spec, std::size_t max_record_bytes) {
+    const auto submission_bytes = to_wire(spec).ByteSizeLong();
+    if (submission_bytes > max_record_bytes) {
+        return invalid("the job takes " + std::to_string(submission_bytes) +
+                           " bytes, and the store " + std::to_string(max_record_bytes),
+                       "give it fewer steps, or a shorter payload");
+    }
+    const auto progress_bytes = expected_progress_bytes(spec, 1);
+    if (progress_bytes > max_record_bytes) {
+        return invalid("the state of the job may take " + std::to_string(progress_bytes) +
+                           " bytes, and the store " + std::to_string(max_record_bytes),
+                       "split it into jobs with fewer tasks or occurrences");
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 duration expected_occupation(const step_spec& step) {
     return step.long_running ? unlimited_run_time : step.estimated;
 }
--- a/src/baobabrack/workload/job_spec.hpp
+++ b/src/baobabrack/workload/job_spec.hpp
@@ -1,6 +1,7 @@
 #ifndef BAOBABRACK_WORKLOAD_JOB_SPEC_HPP
 #define BAOBABRACK_WORKLOAD_JOB_SPEC_HPP
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -63,13 +64,27 @@
     duration interval{};
 };
 
-/// Maximum number of tasks in one occurrence of a job. Its progress has to fit into one stored
-/// record (256 KiB), at up to 50 bytes per task.
+/// Maximum number of tasks in one occurrence of a job.
 constexpr std::uint64_t max_tasks_per_job = 5'000;
-/// Maximum number of occurrences of a job. Each one takes a few bytes in the progress record, even
-/// when it is done.
+/// Maximum number of occurrences of a job.
 constexpr std::uint32_t max_occurrences = 10'000;
 
+/// Usual upper bounds for the parts of a progress record, in bytes: a task that has begun, the
+/// frame of a step, and an occurrence, which is listed even when it is done.
+constexpr std::size_t stored_task_bytes = 50;
+constexpr std::size_t stored_step_bytes = 4;
+constexpr std::size_t stored_occurrence_bytes = 8;
+
+/// @param begun how many occurrences have begun and are not done
+/// @return the size of the job's progress record that is to be expected, in bytes
+std::size_t expected_progress_bytes(const job_spec& spec, std::size_t begun);
+
+/// Checks that the store takes the records of a job.
+///
+/// @param max_record_bytes what the value of a record may have
+/// @return nothing, or `invalid` with its remedy
+result<void> check_storable(const job_spec& spec, std::size_t max_record_bytes);
+
 /// Checks a job against the rules for submissions.
 ///
 /// @return nothing, or a failure with its remedy
--- a/src/baobabrack/workload/scheduler.cpp
+++ b/src/baobabrack/workload/scheduler.cpp
@@ -223,6 +223,24 @@
     return batch;
 }
 
+// The job is stored as ended at once, so that its ends can be acknowledged like those of others;
+// its runs are stopped afterwards.
+job_progress scheduler::give_up_unstorable(const job_id& id, wall_time wall_now) {
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end()) {
+        return {.phase = job_phase::failed, .occurrences = {}, .ended = wall_now};
+    }
+    auto& job = found->second;
+    job.unstorable = true;
+    job.failure_reason = "its state is larger than the store takes";
+    job.needs_update = true;
+    if (!has_ended(job.progress.phase)) {
+        ++counts_.unstorable;
+        finish_job(job, job_phase::failed, wall_now);
+    }
+    return job.progress;
+}
+
 void scheduler::mark_stored(const progress_batch& batch) {
     for (const auto& change : batch.changes) {
         const auto found = jobs_.find(change.job);
@@ -232,7 +250,9 @@
         auto& job = found->second;
         for (std::size_t at = 0; at < change.progress.occurrences.size(); ++at) {
             const auto& steps = change.progress.occurrences[at].steps;
-            for (std::size_t step = 0; step < steps.size(); ++step) {
+            // Empty if the occurrence has been done since the batch was drained.
+            const auto current_steps = job.task_states[at].size();
+            for (std::size_t step = 0; step < std::min(steps.size(), current_steps); ++step) {
                 for (std::size_t index = 0; index < steps[step].size(); ++index) {
                     const auto& task = steps[step][index];
                     if (task.phase == task_phase::assigned) {
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -174,6 +174,8 @@
     std::uint64_t trials_passed = 0;
     /// Jobs that were given up because a task crashes workers.
     std::uint64_t given_up = 0;
+    /// Jobs that were given up because their state cannot be stored.
+    std::uint64_t unstorable = 0;
 };
 
 /// Decides where each task runs.
@@ -194,6 +196,8 @@
         duration reclaim_timeout = std::chrono::milliseconds{2700};
         /// Factor by which a task runs longer away from its data or in a gang across racks.
         double remote_penalty = 3;
+        /// What the progress record of a job may have, in bytes.
+        std::size_t max_progress_bytes = 262'144;
     };
 
     explicit scheduler(options opts) : options_(opts) {}
@@ -225,6 +229,15 @@
     /// @param with_checkpoints whether a job is included if only its checkpoints have changed
     progress_batch drain_batch(bool with_checkpoints);
 
+    /// Includes the applied ends in the next batch again, as they were not stored with the last
+    /// one.
+    void store_ends_again() { ends_dirty_ = true; }
+
+    /// Gives up a job whose progress cannot be stored in any detail. Its runs are stopped.
+    ///
+    /// @return its progress, as ended
+    job_progress give_up_unstorable(const job_id& id, wall_time wall_now);
+
     /// Marks the changes of a batch as stored.
     void mark_stored(const progress_batch& batch);
 
@@ -288,6 +301,10 @@
         /// A task has used up its attempts, or crashes workers. The job ends once its running tasks
         /// have stopped.
         bool failed = false;
+        /// Its progress cannot be stored, so that it has failed.
+        bool unstorable = false;
+        /// Occurrences are due that have to wait for earlier ones.
+        bool occurrences_delayed = false;
         std::string failure_reason;
         time_point added_at{};
         /// When the log last told why the job waits.
@@ -411,6 +428,7 @@
     void update_jobs(wall_time wall_now);
     void update_job(open_job& job, wall_time wall_now);
     void open_due_occurrences(open_job& job, wall_time wall_now);
+    bool may_open_occurrence(open_job& job);
     void stop_all_runs(open_job& job);
     void stop_broken_gangs(open_job& job);
     bool has_assigned_tasks(const open_job& job) const;
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -31,7 +31,7 @@
 double remaining_work(const job_spec& spec, const job_progress& progress) {
     double work = 0;
     for (const auto& occurrence : progress.occurrences) {
-        for (std::size_t at = 0; at < spec.steps.size(); ++at) {
+        for (std::size_t at = 0; at < occurrence.steps.size(); ++at) {
             const auto& step = spec.steps[at];
             const auto left = std::count_if(
                 occurrence.steps[at].begin(), occurrence.steps[at].end(),
@@ -129,16 +129,22 @@
 }
 
 void scheduler::update_job(open_job& job, wall_time wall_now) {
-    bool failed = false;
+    bool failed = job.unstorable;
     bool crashing = false;
     bool all_done = !job.progress.occurrences.empty();
-    for (auto& occurrence : job.progress.occurrences) {
+    for (std::size_t at = 0; at < job.progress.occurrences.size(); ++at) {
+        auto& occurrence = job.progress.occurrences[at];
         if (occurrence.done) {
             continue;
         }
         const bool finished = is_occurrence_done(job.spec, occurrence);
-        occurrence.done = finished && !workload::has_assigned_tasks(occurrence);
         all_done = all_done && finished;
+        if (finished && !workload::has_assigned_tasks(occurrence)) {
+            occurrence.done = true;
+            occurrence.steps.clear();
+            job.task_states[at].clear();
+            continue;
+        }
         for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
             const auto& spec = job.spec.steps[step];
             const auto& tasks = occurrence.steps[step];
@@ -193,7 +199,7 @@
         const auto number = static_cast<std::uint32_t>(occurrences.size());
         const auto due = job.spec.first_due + duration_cast<milliseconds>(job.spec.interval) *
                                                   static_cast<std::int64_t>(number);
-        if (wall_now < due + due_margin) {
+        if (wall_now < due + due_margin || !may_open_occurrence(job)) {
             return;
         }
         occurrences.push_back(new_occurrence(job.spec, number));
@@ -206,6 +212,27 @@
     }
 }
 
+// Returns whether the progress of the job still fits into one record with another occurrence.
+// Otherwise those that are due begin as earlier ones are done.
+bool scheduler::may_open_occurrence(open_job& job) {
+    const auto& occurrences = job.progress.occurrences;
+    const auto begun = static_cast<std::size_t>(
+        std::count_if(occurrences.begin(), occurrences.end(),
+                      [](const occurrence_progress& occurrence) { return !occurrence.done; }));
+    const auto bytes = expected_progress_bytes(job.spec, begun + 1);
+    const bool fits = begun == 0 || bytes <= options_.max_progress_bytes;
+    if (!fits && !job.occurrences_delayed) {
+        add_decision_event("occurrences-delayed", {.step = {.job = job.spec.id}}, {}, {},
+                           std::to_string(begun) +
+                               " occurrences have begun, and the state of one "
+                               "more would make " +
+                               std::to_string(bytes) + " bytes of " +
+                               std::to_string(options_.max_progress_bytes));
+    }
+    job.occurrences_delayed = !fits;
+    return fits;
+}
+
 void scheduler::stop_all_runs(open_job& job) {
     for_each_task(job, [&](const task_ref& ref) {
         if (ref.task->phase == task_phase::assigned) {
--- a/src/baobabrack/workload/scheduler_node.cpp
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "baobabrack/keyed/record_sizes.hpp"
 #include "baobabrack/observe/json_log.hpp"
 #include "baobabrack/workload/report_codec.hpp"
 
@@ -45,6 +46,19 @@
 // runs on the few hosts that it knows although others are idle.
 constexpr duration initial_report_timeout = 250ms;
 
+// Part of each append that is left for the record of the leader, in bytes.
+constexpr std::size_t leader_record_allowance = 1024;
+// Part of each record that is left for its key when the size of progress is planned, in bytes.
+constexpr std::size_t key_allowance = 128;
+constexpr duration reduction_log_interval = 5s;
+
+// Returns what the value of a record may have for the store to take it, in bytes.
+std::size_t max_value_size(const store_limits& limits, std::size_t key_size) {
+    const auto record =
+        std::min(limits.record_bytes, limits.request_bytes - leader_record_allowance);
+    return record - std::min(record, key_size + record_overhead_bytes);
+}
+
 std::int64_t to_ms(duration span) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
 }
@@ -214,7 +228,9 @@
     intake_.set_min_poll_interval({});
     sessions_.begin_term(term_.get());
     progress_deletions_.clear();
-    scheduler_ = std::make_unique<scheduler>(options_.scheduling);
+    auto scheduling = options_.scheduling;
+    scheduling.max_progress_bytes = max_value_size(deps_.log.limits(), key_allowance);
+    scheduler_ = std::make_unique<scheduler>(scheduling);
     const auto lease = options_.scheduling.lease;
     scheduler_->load(
         jobs_, now,
@@ -246,6 +262,8 @@
 void scheduler_node::step_down(const std::string& reason) {
     log_event(log_level::warning, "lead-lost").field("term", term_.get()).field("reason", reason);
     scheduler_.reset();
+    parts_.clear();
+    rejected_jobs_.clear();
     intake_.set_min_poll_interval(follower_poll_interval);
     decide_timer_.cancel();
     leader_last_seen_ = deps_.loop.now();
@@ -285,7 +303,7 @@
 }
 
 void scheduler_node::flush() {
-    if (writer_.busy() || !is_leader()) {
+    if (writer_.busy() || !is_leader() || !parts_.empty()) {
         return;
     }
     const bool confirmation_due =
@@ -298,29 +316,69 @@
     }
 }
 
+// Divides the batch into appends that the store takes. A job whose record is too large even without
+// details is given up, so that it does not keep the others from being stored.
 void scheduler_node::write_batch(progress_batch batch) {
-    std::vector<keyed_record> records;
-    for (const auto& change : batch.changes) {
-        records.push_back({.key = std::string{progress_prefix} + change.job.get(),
-                           .value = to_wire(change.progress).SerializeAsString()});
+    const auto limits = deps_.log.limits();
+    progress_parts parts(limits.request_bytes - leader_record_allowance);
+    for (auto& change : batch.changes) {
+        keyed_record record{.key = std::string{progress_prefix} + change.job.get(), .value = ""};
+        record.value = encode(change, max_value_size(limits, record.key.size()));
+        parts.add(std::move(change), std::move(record));
     }
     for (const auto& id : std::exchange(progress_deletions_, {})) {
-        records.push_back({.key = std::string{progress_prefix} + id.get(), .value = ""});
+        parts.add({.key = std::string{progress_prefix} + id.get(), .value = ""});
     }
     for (auto& record : guards_.drain_changes(deps_.loop.now())) {
-        records.push_back(std::move(record));
+        parts.add(std::move(record));
+    }
+    parts_ = parts.finish(std::move(batch.applied_ends));
+    write_next_part();
+}
+
+std::string scheduler_node::encode(progress_batch::change& change, std::size_t max_bytes) {
+    auto encoded = encode_progress(change.progress, max_bytes);
+    if (!encoded) {
+        change.progress = scheduler_->give_up_unstorable(change.job, deps_.loop.wall_now());
+        log_decisions();
+        return to_wire(change.progress).SerializeAsString();
     }
-    const bool resigning = resigning_;
-    records.push_back(make_leader_record(resigning));
+    if (encoded->detail != progress_detail::full &&
+        deps_.loop.now() - reduction_logged_ >= reduction_log_interval) {
+        reduction_logged_ = deps_.loop.now();
+        log_event(log_level::warning, "progress-reduced")
+            .field("job", change.job.get())
+            .field("stored", to_string(encoded->detail))
+            .field("bytes", static_cast<std::uint64_t>(encoded->value.size()))
+            .field("max_bytes", static_cast<std::uint64_t>(max_bytes));
+    }
+    return std::move(encoded->value);
+}
+
+void scheduler_node::write_next_part() {
+    progress_part part = std::move(parts_.front());
+    parts_.pop_front();
+    const bool resigning = resigning_ && parts_.empty();
+    part.records.push_back(make_leader_record(resigning));
     const auto first = writer_.end();
-    writer_.write(records, [this, batch = std::move(batch), records, first,
+    const auto records = part.records;
+    writer_.write(records, [this, part = std::move(part), first,
                             resigning](conditional_writer::outcome write_outcome) {
         if (write_outcome == conditional_writer::outcome::superseded) {
             step_down("another scheduler has stored its records first");
             return;
         }
-        handle_batch_stored(batch, records, first);
-        if (resigning) {
+        if (write_outcome == conditional_writer::outcome::rejected) {
+            isolate_rejected(part);
+            return;
+        }
+        handle_batch_stored(part.batch, part.records, first);
+        for (const auto& id : std::exchange(rejected_jobs_, {})) {
+            scheduler_->give_up_unstorable(id, deps_.loop.wall_now());
+        }
+        if (!parts_.empty()) {
+            write_next_part();
+        } else if (resigning) {
             step_down("this scheduler is stopping");
         } else {
             decide();
@@ -328,6 +386,33 @@
     });
 }
 
+// The store has refused a part within its known limits. Halves the part until one job's record is
+// left, and leaves that out. The job is given up once the store has taken another append, so that a
+// store that refuses everything ends no job.
+void scheduler_node::isolate_rejected(progress_part part) {
+    part.records.pop_back();
+    if (part.records.empty()) {
+        step_down("the store does not take the records");
+        return;
+    }
+    if (part.records.size() > 1) {
+        auto [first, second] = halve(std::move(part));
+        parts_.push_front(std::move(second));
+        parts_.push_front(std::move(first));
+        write_next_part();
+        return;
+    }
+    for (const auto& change : part.batch.changes) {
+        rejected_jobs_.push_back(change.job);
+    }
+    for (auto& waiting : parts_) {
+        waiting.batch.applied_ends.clear();
+    }
+    scheduler_->store_ends_again();
+    parts_.emplace_front();
+    write_next_part();
+}
+
 void scheduler_node::handle_batch_stored(const progress_batch& batch,
                                          const std::vector<keyed_record>& records,
                                          log_offset first) {
@@ -530,10 +615,19 @@
         .get_gauge("baobabrack_jobs_given_up",
                    "Jobs with a task that crashes workers, under this leader")
         .set(static_cast<double>(counts.given_up));
+    metrics
+        .get_gauge("baobabrack_jobs_unstorable",
+                   "Jobs that were given up as the store does not take their state, under this "
+                   "leader")
+        .set(static_cast<double>(counts.unstorable));
     metrics.get_gauge("baobabrack_open_jobs", "Jobs that have not ended")
         .set(static_cast<double>(scheduler_->open_jobs()));
 }
 
+result<void> scheduler_node::check_storable(const job_spec& spec) const {
+    return workload::check_storable(spec, max_value_size(deps_.log.limits(), key_allowance));
+}
+
 void scheduler_node::submit(const job_spec& spec, duration deadline,
                             intake_writer::receipt_handler done) {
     intake_writer_.write({.key = std::string{submission_prefix} + spec.id.get(),
--- a/src/baobabrack/workload/scheduler_node.hpp
+++ b/src/baobabrack/workload/scheduler_node.hpp
@@ -1,6 +1,7 @@
 #ifndef BAOBABRACK_WORKLOAD_SCHEDULER_NODE_HPP
 #define BAOBABRACK_WORKLOAD_SCHEDULER_NODE_HPP
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -15,6 +16,7 @@
 #include "baobabrack/workload/guard_sessions.hpp"
 #include "baobabrack/workload/intake_writer.hpp"
 #include "baobabrack/workload/peer_pings.hpp"
+#include "baobabrack/workload/progress_parts.hpp"
 #include "baobabrack/workload/scheduler.hpp"
 
 namespace baobabrack::workload {
@@ -59,6 +61,9 @@
 
     void start();
 
+    /// @return nothing, or `invalid` if the store would not take the records of the job
+    result<void> check_storable(const job_spec& spec) const;
+
     /// Stores a job. The handler runs once, at the latest when the deadline has passed.
     void submit(const job_spec& spec, duration deadline, intake_writer::receipt_handler done);
 
@@ -103,6 +108,9 @@
     void delete_expired_jobs();
     void delete_job(const job_id& id);
     void write_batch(progress_batch batch);
+    std::string encode(progress_batch::change& change, std::size_t max_bytes);
+    void write_next_part();
+    void isolate_rejected(progress_part part);
     keyed_record make_leader_record(bool resigned);
     void handle_batch_stored(const progress_batch& batch, const std::vector<keyed_record>& records,
                              log_offset first);
@@ -136,6 +144,11 @@
     time_point last_cleanup_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     guard_directory guards_;
+    // The parts of the current batch that have not been sent.
+    std::deque<progress_part> parts_;
+    time_point reduction_logged_{};
+    // Jobs whose record the store has refused.
+    std::vector<job_id> rejected_jobs_;
     std::uint64_t batch_count_ = 0;
     log_offset term_;
     bool claiming_ = false;
--- a/standin/platform/store_endpoint.cpp
+++ b/standin/platform/store_endpoint.cpp
@@ -81,7 +81,9 @@
     }
     link_.append(std::move(call), [responder](const result<append_reply>& reply) {
         if (!reply) {
-            responder.respond({.status = platform::status_service_unavailable});
+            const bool invalid = reply.error().kind == failure_kind::invalid;
+            responder.respond({.status = invalid ? platform::status_bad_request
+                                                 : platform::status_service_unavailable});
             return;
         }
         const auto status =
--- a/tests/keyed/conditional_writer.tests.cpp
+++ b/tests/keyed/conditional_writer.tests.cpp
@@ -62,6 +62,36 @@
     CHECK(store.at(topic).records.size() == 1);
 }
 
+// The store refused a batch for its size, and the writer sent it again without end.
+TEST_CASE("A batch that the store does not take is rejected at once", "[writer]") {
+    virtual_runtime loop(11);
+    fakes::fake_store store(loop);
+    store.limits = {.record_bytes = 100, .request_bytes = 250};
+    fakes::fake_store_link link(loop, store);
+    conditional_writer writer(loop, link, {.topic = topic});
+    std::optional<conditional_writer::outcome> batch_outcome;
+    const auto report = [&](conditional_writer::outcome reported) { batch_outcome = reported; };
+    const keyed_record record{.key = "k", .value = std::string(80, 'v')};
+    std::vector<keyed_record> batch{record, record, record};
+    SECTION("a record that is too large") {
+        batch = {{.key = "k", .value = std::string(100, 'v')}};
+        writer.write(batch, report);
+    }
+    SECTION("a batch that is too large") {
+        writer.write(batch, report);
+    }
+    SECTION("a batch whose size only the store finds too large") {
+        link.announced_limits = store_limits{};
+        writer.write(batch, report);
+    }
+    loop.run_for(20ms);
+    CHECK(batch_outcome == conditional_writer::outcome::rejected);
+    CHECK(store.at(topic).records.empty());
+    writer.write({record, record}, report);
+    loop.run_for(20ms);
+    CHECK(batch_outcome == conditional_writer::outcome::stored);
+}
+
 TEST_CASE("A follower delivers every record in order, also after history was dropped",
           "[follower]") {
     virtual_runtime loop(9);
@@ -130,6 +160,7 @@
 class counting_log : public keyed_log {
 public:
     explicit counting_log(keyed_log& log) : log_(log) {}
+    store_limits limits() const override { return log_.limits(); }
     void append(keyed_append request, append_callback done) override {
         log_.append(std::move(request), std::move(done));
     }
