Do not take a worker that leaves in order for crashed

Cause: a worker whose lease expires while its guard responds counts as crashed, also if it had announced that it drains. handle_new_instance makes that exception, expire_silent_workers did not. Change: the same exception there. Test: "A lasting job is not given up because workers under it leave in order"; before, 0 open jobs and 5 crashes instead of 1 and 0. Its second section is the neighbour: five crashes still end the job.

--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -466,8 +466,10 @@
             worker.expired = true;
             worker.used = {};
             const worker_instance none{.host = host, .worker = {}, .version = {}};
-            // A silent guard means that the host is unreachable or down, not its worker alone.
-            if (worker.renewal_suspended && now <= worker.last_heard + options_.silence_limit) {
+            // A silent guard means that the host is unreachable or down, not its worker alone. A
+            // worker that was shutting down has left.
+            if (worker.renewal_suspended && !worker.facts.draining &&
+                now <= worker.last_heard + options_.silence_limit) {
                 // Until the worker has returned lists, the reports do not tell this leader which
                 // starts were sent.
                 const auto starts_known = worker.lists_at == time_point{}
--- a/tests/workload/crashing_tasks.tests.cpp
+++ b/tests/workload/crashing_tasks.tests.cpp
@@ -1,6 +1,7 @@
 // Tasks that crash the workers on which they start, and crashes by other causes.
 #include <catch2/catch.hpp>
 
+#include "workload/scheduler_fixture.hpp"
 #include "workload/simulated_cluster.hpp"
 
 using namespace baobabrack;
@@ -417,3 +418,51 @@
     cluster.crash_worker(host, 500ms);
     CHECK(cluster.run_until([&] { return cluster.runs_of[other] > starts; }, 6s));
 }
+
+// A worker that leaves stops responding while its guard runs on, which looked like a crash each
+// time.
+TEST_CASE("A lasting job is not given up because workers under it leave in order",
+          "[scheduler][crashes]") {
+    workload::scheduler_fixture fixture;
+    auto job = job_of("lasting", 1, 1);
+    job.steps.front().long_running = true;
+    job.steps.front().required_label = workload::label{"suitable"};
+    for (const auto* host : {"other-1", "other-2", "other-3"}) {
+        fixture.add_worker(host);
+        fixture.reports[host].worker_age = 1h;
+    }
+    fixture.submit(job);
+    const auto run_for = [&](duration span) {
+        for (const auto end = fixture.now + span; fixture.now < end;) {
+            fixture.run_pass();
+            for (auto& [host, report] : fixture.reports) {
+                report.worker_age += 100ms;
+                report.lists_age += report.lease_suspended ? 100ms : 0ms;
+            }
+        }
+    };
+    bool drains = true;
+    SECTION("they announce that they drain") {
+    }
+    SECTION("the other side: they crash") {
+        drains = false;
+    }
+    for (int round = 0; round < 6; ++round) {
+        const auto host = "h" + std::to_string(round);
+        fixture.add_worker(host);
+        fixture.reports[host].facts.labels = {workload::label{"suitable"}};
+        run_for(4s);
+        if (fixture.run_count(host) == 0) {
+            break;
+        }
+        auto& report = fixture.reports[host];
+        report.facts.draining = drains;
+        run_for(2s);
+        report.lease_suspended = true;
+        report.lease_remaining = 0s;
+        run_for(2s);
+        report.runs.clear();
+    }
+    CHECK(fixture.subject.open_jobs() == (drains ? 1 : 0));
+    CHECK(fixture.subject.counts().worker_crashes == (drains ? 0 : 5));
+}
