Let the end of a run count after the next one was assigned

Cause: an end of an earlier run was dropped as "not the current run" but acknowledged, so the worker forgot it and the task ran on, or a third time after a crash. Change: an end as done makes a waiting task done, and stops the next run if it is assigned; the task is then done however that run ends, also under another leader. An end as failed uses up an attempt.

--- a/src/baobabrack/workload/job_progress.cpp
+++ b/src/baobabrack/workload/job_progress.cpp
@@ -86,7 +86,8 @@
             .failures = task.failures(),
             .failed_run = run_number{task.failed_run()},
             .checkpoint = task.checkpoint(),
-            .crashes = from_wire(task.crashes())};
+            .crashes = from_wire(task.crashes()),
+            .done_earlier = task.done_earlier()};
 }
 
 void to_wire(const task_progress& task, progress_detail detail, place_numbers& places,
@@ -109,6 +110,7 @@
     record.set_run(task.run.get());
     record.set_failures(task.failures);
     record.set_failed_run(task.failed_run.get());
+    record.set_done_earlier(task.done_earlier);
     if (detail == progress_detail::full) {
         record.set_checkpoint(task.checkpoint);
     }
@@ -143,7 +145,8 @@
     return progress;
 }
 
-void count_failure(const step_spec& step, std::vector<task_progress>& tasks, task_progress& task) {
+void count_failure(const step_spec& step, std::vector<task_progress>& tasks, task_progress& task,
+                   run_number run) {
     if (!step.gang) {
         ++task.failures;
         return;
@@ -151,7 +154,7 @@
     const bool counted = std::any_of(tasks.begin(), tasks.end(), [&](const task_progress& member) {
         return member.failed_run == task.run;
     });
-    task.failed_run = task.run;
+    task.failed_run = std::max(task.failed_run, run);
     task.failures += counted ? 0 : 1;
 }
 
--- a/src/baobabrack/workload/job_progress.hpp
+++ b/src/baobabrack/workload/job_progress.hpp
@@ -47,6 +47,9 @@
     /// Latest checkpoint; empty if there is none.
     std::string checkpoint;
     crash_record crashes;
+    /// The end of an earlier run as done has arrived after the latest run was assigned. The task is
+    /// done once that one has ended, however it ends.
+    bool done_earlier = false;
 };
 
 struct occurrence_progress {
@@ -66,9 +69,10 @@
 /// @return an occurrence whose tasks are all waiting
 occurrence_progress new_occurrence(const job_spec& spec, std::uint32_t number);
 
-/// Counts the failure of the task's latest run against the attempts of the step. All members of a
-/// gang may fail in the same run, which uses up one attempt.
-void count_failure(const step_spec& step, std::vector<task_progress>& tasks, task_progress& task);
+/// Counts the failure of a run of the task against the attempts of the step. All members of a gang
+/// may fail in the same run, which uses up one attempt.
+void count_failure(const step_spec& step, std::vector<task_progress>& tasks, task_progress& task,
+                   run_number run);
 
 /// @return how many attempts of the step have failed: of the gang, or of the task with the most
 std::uint32_t failed_attempts(const step_spec& step, const std::vector<task_progress>& tasks);
--- a/src/baobabrack/workload/scheduler.cpp
+++ b/src/baobabrack/workload/scheduler.cpp
@@ -58,6 +58,7 @@
         const auto name = name_of(ref);
         ref.state->stored_run = ref.task->run;
         ref.state->restored = true;
+        ref.state->stopping = ref.task->done_earlier;
         ref.state->assigned_at = now;
         ref.state->measured_rate.restart(now);
         const auto& place = ref.task->place;
@@ -174,11 +175,12 @@
     }
 }
 
-// Ends the run of an unfinished task, which then waits for another run.
+// Ends the run of an unfinished task, which then waits for another run, unless an earlier one has
+// ended as done.
 void scheduler::requeue_task(const task_name& name, const task_ref& ref,
                              const std::string& checkpoint) {
     release_run(name, ref);
-    ref.task->phase = task_phase::waiting;
+    ref.task->phase = ref.task->done_earlier ? task_phase::done : task_phase::waiting;
     ref.task->place = {};
     if (!checkpoint.empty() && ref.step->checkpoints) {
         ref.task->checkpoint = checkpoint;
@@ -191,7 +193,7 @@
 void scheduler::requeue_lost_task(const task_name& name, const task_ref& ref) {
     const auto place = ref.task->place;
     requeue_task(name, ref, "");
-    ref.task->place = place;
+    ref.task->place = ref.task->phase == task_phase::waiting ? place : worker_instance{};
 }
 
 void scheduler::stop_run(const task_name& name, const task_ref& ref, const std::string& why) {
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -386,6 +386,7 @@
     void restore_assignments(open_job& job, time_point now);
     void apply_end(const ended_run& end, const worker_instance& place, time_point now);
     void apply_end_of_lost_run(const ended_run& end, const task_ref& ref);
+    void apply_end_of_earlier_run(const ended_run& end, const task_ref& ref);
     void apply_refusal(const refused_run& refusal, const worker_instance& place, time_point now);
     void apply_runs(const worker_report& report, time_point now);
     void mark_runs_lost(const worker_instance& place, const std::string& why);
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -105,6 +105,7 @@
     // The run was taken for lost when its lease expired, and the task has not started again.
     const bool lost = ref && ref->task->phase == task_phase::waiting && ref->task->run == end.run &&
                       ref->task->place == place;
+    const bool earlier = ref && ref->task->phase != task_phase::done && end.run < ref->task->run;
     add_decision_event("run-ended", end.task, end.run, place.host,
                        std::string{to_string(end.outcome)} +
                            (lost ? ", taken for lost before" : "") +
@@ -113,6 +114,10 @@
         apply_end_of_lost_run(end, *ref);
         return;
     }
+    if (earlier) {
+        apply_end_of_earlier_run(end, *ref);
+        return;
+    }
     if (!current) {
         return;
     }
@@ -129,7 +134,7 @@
     }
     if (end.outcome == run_outcome::failed) {
         ++counts_.failed;
-        count_failure(*ref->step, *ref->tasks, *ref->task);
+        count_failure(*ref->step, *ref->tasks, *ref->task, end.run);
         const auto after = now - ref->state->assigned_at;
         history.record_failure(end.task.step.job, after, now);
         if (run_history::is_quick_failure(after)) {
@@ -146,7 +151,7 @@
         ref.task->phase = task_phase::done;
     } else if (end.outcome == run_outcome::failed) {
         ++counts_.failed;
-        count_failure(*ref.step, *ref.tasks, *ref.task);
+        count_failure(*ref.step, *ref.tasks, *ref.task, end.run);
     }
     if (!end.checkpoint.empty() && ref.step->checkpoints) {
         ref.task->checkpoint = end.checkpoint;
@@ -157,6 +162,28 @@
     capacity_changed_ = true;
 }
 
+// The run was taken for lost, and the next one was assigned before its end arrived. The end is
+// acknowledged like any other, so it must count: a task that is done must not start again.
+void scheduler::apply_end_of_earlier_run(const ended_run& end, const task_ref& ref) {
+    if (end.outcome == run_outcome::failed) {
+        ++counts_.failed;
+        count_failure(*ref.step, *ref.tasks, *ref.task, end.run);
+    } else if (end.outcome != run_outcome::done || ref.step->long_running) {
+        return;
+    } else if (ref.task->phase == task_phase::waiting) {
+        ++counts_.done;
+        ref.task->phase = task_phase::done;
+        ref.task->place = {};
+    } else {
+        ++counts_.done;
+        ref.task->done_earlier = true;
+        stop_run(end.task, ref, "an earlier run of the task has ended as done");
+    }
+    ref.job->dirty = true;
+    ref.job->needs_update = true;
+    capacity_changed_ = true;
+}
+
 // Records the run time against its estimate, once per gang, if the run started from the beginning
 // and had a fast placement and a worker of normal speed.
 void scheduler::record_run_time(const task_ref& ref, time_point now) {
