Give a task more time to its first progress after each stalled run

Cause: the time to the first visible percent is judged by the estimate, in the same way on each worker. Change: that time doubles with each stalled run of the task, up to 64 times. Tests: stalled_runs; before, 20 stops in 60 s and 60 in 180 s (gang: 16 and 52), now at most 4 in all. The first stall is found as soon as before.

--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -275,6 +275,8 @@
         bool moved = false;
         /// How often runs of the task have been preempted.
         std::uint32_t preemption_count = 0;
+        /// How often runs of the task have been stopped because they made no progress.
+        std::uint32_t stall_count = 0;
         time_point assigned_at{};
         /// The guard has sent the start of the current run.
         bool sent = false;
@@ -415,6 +417,7 @@
     void check_progress(const task_name& name, const reported_run& run, const task_ref& ref,
                         time_point now);
     duration stall_timeout(const task_ref& ref) const;
+    static duration first_progress_timeout(const step_spec& step);
     void handle_stalled_run(const task_name& name, const task_ref& ref, time_point now);
     bool other_jobs_progress(const worker_state& worker, const job_id& job, time_point now);
     double expected_rate(const task_ref& ref) const;
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -602,6 +602,7 @@
                        .restored = false,
                        .moved = ref->state->moved,
                        .preemption_count = ref->state->preemption_count,
+                       .stall_count = ref->state->stall_count,
                        .assigned_at = pass.now,
                        .sent = false,
                        .begun = false,
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -29,6 +29,9 @@
 // Minimum number of measured sibling runs for a comparison.
 constexpr std::size_t min_siblings = 3;
 constexpr double full_percent = 100;
+// The time until a run counts as stalled doubles with each stalled run of its task, this often at
+// most.
+constexpr std::uint32_t max_stall_doublings = 6;
 
 }  // namespace
 
@@ -322,6 +325,7 @@
             worker->history.record_failure(name.step.job, now - ref.state->assigned_at, now);
         }
     }
+    ++ref.state->stall_count;
     stop_run(name, ref,
              "no progress at " + std::to_string(ref.state->measured_rate.percent()) + "%");
 }
@@ -341,13 +345,25 @@
     return false;
 }
 
+// A run whose estimate is far too low shows its first progress late. It looks stalled on every
+// worker, so each further run of the task gets more time.
 duration scheduler::stall_timeout(const task_ref& ref) const {
     const auto& measured = ref.state->measured_rate;
     if (measured.has_measurement()) {
         return stall_base + from_seconds(stall_percent / measured.fastest());
     }
-    return stall_base + (ref.step->gang ? gang_start_allowance : start_allowance) +
-           from_seconds(to_seconds(ref.step->estimated) * start_share);
+    auto stalls = ref.state->stall_count;
+    if (ref.step->gang) {
+        for (const auto& state : *ref.states) {
+            stalls = std::max(stalls, state.stall_count);
+        }
+    }
+    return first_progress_timeout(*ref.step) * (1U << std::min(stalls, max_stall_doublings));
+}
+
+duration scheduler::first_progress_timeout(const step_spec& step) {
+    return stall_base + (step.gang ? gang_start_allowance : start_allowance) +
+           from_seconds(to_seconds(step.estimated) * start_share);
 }
 
 // Returns the expected rate in percent per second at the run's current host, or zero if unknown.
