Read the stored submissions to their end before a cancel is answered as unknown

Cause: the local table counted as complete while it was up to 2.7 s old, or 120 ms without any cut. Change: for a job that is not in the table, the scheduler reads the submissions to their present end; if it cannot, it answers 503.

--- a/src/baobabrack/workload/job_frontend.cpp
+++ b/src/baobabrack/workload/job_frontend.cpp
@@ -179,18 +179,42 @@
         });
 }
 
+// That there is no such job is a final answer to a cancellation, so the table must be as new as the
+// request: another scheduler may have accepted the job a moment ago.
 void job_frontend::cancel(const route& /*to*/, const job_id& id, duration deadline,
                           reply_handler done) {
-    const auto* job = node_.jobs().find(id);
-    if (job == nullptr || job->cancelled) {
-        frontend_reply reply;
-        if (job == nullptr) {
-            const bool up_to_date = node_.is_up_to_date();
-            reply.status = up_to_date ? reply_status::unknown_job : reply_status::not_now;
-            reply.reason = up_to_date ? "no such job" : "the stored jobs may be newer";
+    if (node_.jobs().find(id) != nullptr) {
+        cancel_known(id, deadline, std::move(done));
+        return;
+    }
+    const auto finish = [this, id, done](reply_status status, std::string reason) {
+        frontend_reply reply{.status = status, .reason = std::move(reason)};
+        if (status == reply_status::not_now) {
+            reply.retry_after = retry_delay();
         }
         record_reply("cancel", id, reply);
         done(reply);
+    };
+    if (!node_.is_up_to_date()) {
+        finish(reply_status::not_now, "the stored jobs may be newer");
+        return;
+    }
+    node_.refresh_jobs([this, id, deadline, done, finish](bool complete) {
+        if (!complete) {
+            finish(reply_status::not_now, "the stored jobs cannot be read");
+        } else if (node_.jobs().find(id) == nullptr) {
+            finish(reply_status::unknown_job, "no such job");
+        } else {
+            cancel_known(id, deadline, done);
+        }
+    });
+}
+
+void job_frontend::cancel_known(const job_id& id, duration deadline, reply_handler done) {
+    if (node_.jobs().find(id)->cancelled) {
+        const frontend_reply reply;
+        record_reply("cancel", id, reply);
+        done(reply);
         return;
     }
     node_.cancel(id, store_timeout(deadline), [this, id, done = std::move(done)](auto receipt) {
--- a/src/baobabrack/workload/job_frontend.hpp
+++ b/src/baobabrack/workload/job_frontend.hpp
@@ -91,6 +91,7 @@
     bool config_is_recent() const;
     std::chrono::seconds retry_delay() const;
     duration store_timeout(duration deadline) const;
+    void cancel_known(const job_id& id, duration deadline, reply_handler done);
     void record_reply(const std::string& call, const job_id& id, const frontend_reply& reply);
 
     options options_;
--- a/src/baobabrack/workload/scheduler_node.cpp
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -70,6 +70,9 @@
       deps_(deps),
       intake_(deps.loop, deps.log,
               {.topic = intake_topic, .min_poll_interval = follower_poll_interval}),
+      intake_end_(
+          deps.log, {.topic = intake_topic}, [this] { return intake_.next_offset(); },
+          [this](const keyed_entry& entry) { apply_intake(entry); }),
       progress_(deps.loop, deps.log,
                 {.topic = progress_topic, .min_poll_interval = follower_poll_interval}),
       writer_(deps.loop, deps.log, {.topic = progress_topic}),
--- a/src/baobabrack/workload/scheduler_node.hpp
+++ b/src/baobabrack/workload/scheduler_node.hpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "baobabrack/keyed/conditional_writer.hpp"
+#include "baobabrack/keyed/topic_end_reader.hpp"
 #include "baobabrack/keyed/topic_follower.hpp"
 #include "baobabrack/membership/peer_network.hpp"
 #include "baobabrack/metrics/registry.hpp"
@@ -73,6 +74,13 @@
     /// @return the table of stored jobs
     const job_table& jobs() const { return jobs_; }
 
+    /// Brings the job table up to the submissions and cancellations that are stored by now.
+    ///
+    /// @param done receives whether it has been
+    void refresh_jobs(topic_end_reader::done_handler done) {
+        intake_end_.read_to_end(std::move(done));
+    }
+
     /// @return whether the job table was recently confirmed to be complete
     bool is_up_to_date() const;
 
@@ -129,6 +137,7 @@
     dependencies deps_;
     job_table jobs_;
     topic_follower intake_;
+    topic_end_reader intake_end_;
     topic_follower progress_;
     conditional_writer writer_;
     peer_pings pings_;
--- a/tests/workload/job_frontend.tests.cpp
+++ b/tests/workload/job_frontend.tests.cpp
@@ -99,3 +99,73 @@
     }
     CHECK(cluster.runs_started == 1);
 }
+
+namespace {
+
+/// @return the answer to a cancellation at a scheduler
+frontend_reply cancel_at(simulated_cluster& cluster, unsigned index, const std::string& id) {
+    metrics_registry metrics;
+    job_frontend frontend({}, cluster.loop, *cluster.scheduler(index), cluster.config, metrics);
+    std::optional<frontend_reply> received;
+    frontend.cancel(frontend.find_route(valid_request), job_id{id}, 3s,
+                    [&](const frontend_reply& answer) { received = answer; });
+    cluster.run_until([&] { return received.has_value(); }, 4s);
+    REQUIRE(received);
+    return *received;
+}
+
+}  // namespace
+
+// A scheduler that does not lead reads submissions every 120 ms, and answered that there is no such
+// job until then. The caller took the job for gone, and it ran to its end.
+TEST_CASE("A job can be cancelled at any scheduler as soon as it has been accepted", "[frontend]") {
+    simulated_cluster cluster(31, {.run_time = 20s});
+    cluster.run_for(2s);
+    const auto leader = cluster.leader_index();
+    const auto other = (leader + 1) % 3;
+    for (int number = 0; number < 40; ++number) {
+        const auto id = "j" + std::to_string(number);
+        REQUIRE(cluster.submit_at(leader, job_of(id, 1, 1)));
+        cluster.run_for(std::chrono::milliseconds{number * 5});
+        INFO("after " << number * 5 << " ms");
+        CHECK(cancel_at(cluster, other, id).status == reply_status::accepted);
+    }
+    cluster.run_for(1s);
+    for (unsigned host = 0; host < 4; ++host) {
+        CHECK(cluster.worker(host).running() == 0);
+    }
+}
+
+TEST_CASE("A cancellation is not answered as final while the store cannot be read", "[frontend]") {
+    simulated_cluster cluster(32, {.run_time = 20s});
+    cluster.run_for(2s);
+    const auto leader = cluster.leader_index();
+    const auto other = (leader + 1) % 3;
+    SECTION("the store refuses the scheduler") {
+        cluster.store_link(other).active_faults.refuses = true;
+    }
+    SECTION("the store is silent") {
+        cluster.store_link(other).active_faults.silent = true;
+    }
+    REQUIRE(cluster.submit_at(leader, job_of("j", 1, 1)));
+    CHECK(cancel_at(cluster, other, "j").status == reply_status::not_now);
+}
+
+// The other side: a job that does not exist is answered as such, at the cost of one read at a time.
+TEST_CASE("Cancellations of unknown jobs are answered as final, with few reads", "[frontend]") {
+    simulated_cluster cluster(33, {});
+    cluster.run_for(2s);
+    CHECK(cancel_at(cluster, 0, "none").status == reply_status::unknown_job);
+    metrics_registry metrics;
+    job_frontend frontend({}, cluster.loop, *cluster.scheduler(0), cluster.config, metrics);
+    int answered = 0;
+    const auto began = cluster.loop.now();
+    for (int number = 0; number < 500; ++number) {
+        frontend.cancel(frontend.find_route(valid_request), job_id{"none" + std::to_string(number)},
+                        3s, [&](const frontend_reply& answer) {
+                            answered += answer.status == reply_status::unknown_job ? 1 : 0;
+                        });
+    }
+    CHECK(cluster.run_until([&] { return answered == 500; }, 1s));
+    CHECK(cluster.loop.now() - began < 50ms);
+}
