Please the linter in the search for victims and the tests of record sizes

Cause: a lambda used a structured binding, and violations were compared to an empty list. Change: no decision.

--- a/src/baobabrack/workload/scheduler_capacity.cpp
+++ b/src/baobabrack/workload/scheduler_capacity.cpp
@@ -117,13 +117,14 @@
 const std::vector<victim>& scheduler::victims_for(const waiting_group& waiting,
                                                   placement_pass& pass) {
     const auto priority = waiting.job->spec.priority;
-    const auto [entry, added] = pass.victims.try_emplace(priority);
-    auto& victims = entry->second;
+    const auto [known, added] = pass.victims.try_emplace(priority);
+    auto& victims = known->second;
     if (!added) {
         return victims;
     }
     const auto borrowing = find_borrowing_runs(*pass.guarantees, pass.now);
-    for (auto& [id, job] : jobs_) {
+    for (auto& entry : jobs_) {
+        auto& job = entry.second;
         if (job.spec.priority < priority) {
             continue;
         }
@@ -168,7 +169,8 @@
 // their workspace. Runs that are being stopped give theirs back.
 std::set<task_name> scheduler::find_borrowing_runs(const guarantee_uses& uses, time_point now) {
     std::vector<run_unit> units;
-    for (auto& [id, job] : jobs_) {
+    for (auto& entry : jobs_) {
+        auto& job = entry.second;
         const auto use = uses.find(job.spec.workspace);
         if (job.spec.priority != 0 || (use != uses.end() && use->second.is_within())) {
             continue;
--- a/tests/workload/record_sizes.tests.cpp
+++ b/tests/workload/record_sizes.tests.cpp
@@ -75,7 +75,8 @@
     cluster.kill_scheduler(cluster.leader_index());
     CHECK(cluster.run_until([&] { return cluster.completed("scheduled"); }, 30s));
     CHECK(cluster.runs_of.size() == 1'000);
-    CHECK(cluster.violations == std::vector<std::string>{});
+    CAPTURE(cluster.violations);
+    CHECK(cluster.violations.empty());
     CHECK(largest_record(cluster) <= 4'096);
 }
 
@@ -106,7 +107,8 @@
         cluster.kill_scheduler(cluster.leader_index());
         CHECK(cluster.run_until([&] { return cluster.all_completed(ids); }, 60s));
     }
-    CHECK(cluster.violations == std::vector<std::string>{});
+    CAPTURE(cluster.violations);
+    CHECK(cluster.violations.empty());
 }
 
 // A store that refuses everything is not the fault of a job.
@@ -122,7 +124,8 @@
     cluster.run_for(3s);
     cluster.store.limits = {};
     CHECK(cluster.run_until([&] { return cluster.completed("j"); }, 20s));
-    CHECK(cluster.violations == std::vector<std::string>{});
+    CAPTURE(cluster.violations);
+    CHECK(cluster.violations.empty());
 }
 
 // However the record came to be too large: here the limits of the store became smaller.
@@ -148,7 +151,8 @@
     REQUIRE(cluster.submit(job_of("later", 8, 1)));
     CHECK(cluster.run_until([&] { return cluster.completed("later"); }, 10s));
     CHECK(cluster.leader() == leader);
-    CHECK(cluster.violations == std::vector<std::string>{});
+    CAPTURE(cluster.violations);
+    CHECK(cluster.violations.empty());
     cluster.run_for(1s);
     for (unsigned host = 0; host < 8; ++host) {
         CHECK(cluster.worker(host).running() == 0);
