Split the scheduler's large files by what they decide

Cause: scheduler_decide.cpp (636 lines), scheduler_node.cpp (651), scheduler_reports.cpp (594) and scheduler.hpp (542) each held several decisions, and the next parts touch all of them.

No behaviour changes.

--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -13,171 +13,17 @@
 #include "baobabrack/workload/crash_record.hpp"
 #include "baobabrack/workload/job_table.hpp"
 #include "baobabrack/workload/preemption.hpp"
+#include "baobabrack/workload/progress_batch.hpp"
 #include "baobabrack/workload/progress_rate.hpp"
 #include "baobabrack/workload/run_time_estimates.hpp"
+#include "baobabrack/workload/scheduler_counts.hpp"
+#include "baobabrack/workload/worker_orders.hpp"
+#include "baobabrack/workload/worker_report.hpp"
 #include "baobabrack/workload/worker_table.hpp"
 #include "baobabrack/workload/workload_config.hpp"
 
 namespace baobabrack::workload {
 
-enum class run_outcome {
-    done,
-    failed,
-    stopped,
-    lease_lapsed,
-    gang_broken,
-    gang_incomplete,
-    unknown
-};
-
-std::string_view to_string(run_outcome outcome);
-
-/// A run that a worker reports as ended.
-struct ended_run {
-    /// Position among the ended runs of one worker instance, counted from 1.
-    std::uint64_t sequence = 0;
-    task_name task;
-    run_number run;
-    run_outcome outcome = run_outcome::unknown;
-    std::string checkpoint;
-};
-
-/// A run that a worker executes or is starting.
-struct reported_run {
-    task_name task;
-    run_number run;
-    std::string checkpoint;
-    std::uint32_t percent = 0;
-    /// The worker has listed the run; otherwise its start may still be pending.
-    bool listed = true;
-    /// The worker has listed the run or accepted its start.
-    bool begun = true;
-    /// The guard has not started the run and does not know what it needs.
-    bool needs_unknown = false;
-};
-
-/// The runs that a worker lists when its lease is renewed.
-struct run_lists {
-    std::vector<reported_run> runs;
-    std::vector<ended_run> ends;
-    /// The reply does not show all runs, or not all could be decoded. A run that is missing from
-    /// both lists may be active or may have ended.
-    bool incomplete = false;
-};
-
-/// A run that was refused and will not start any more.
-struct refused_run {
-    task_name task;
-    run_number run;
-    std::string reason;
-};
-
-/// A run whose start a guard has sent.
-struct sent_run {
-    task_name task;
-    run_number run;
-    /// The worker has listed the run or accepted its start.
-    bool begun = false;
-};
-
-/// The instance of a worker that another one has replaced, as reported by its guard.
-struct replaced_worker {
-    worker_instance instance;
-    /// Time since it returned its latest lists.
-    duration lists_age{};
-    /// The runs that it may have had.
-    std::vector<sent_run> runs;
-};
-
-/// The state of a worker as reported by its guard.
-struct worker_report {
-    worker_facts facts;
-    /// Whether the lists come from the worker. A guard that has just started has none yet.
-    bool lists_known = false;
-    /// The worker does not respond. The guard renews the lease again only after the leader has
-    /// answered a report without this flag.
-    bool lease_suspended = false;
-    /// Upper bound on the time until the worker's lease expires, from when the report was sent.
-    duration lease_remaining{};
-    /// Time since the worker returned the lists.
-    duration lists_age{};
-    /// The worker has not announced its capacity for too long, so the guard starts nothing.
-    bool capacity_outdated = false;
-    /// How long this instance of the worker has run.
-    duration worker_age{};
-    std::vector<reported_run> runs;
-    std::vector<ended_run> ends;
-    std::vector<refused_run> refusals;
-    /// The instance that ran on the host before, if this guard has recently seen its lists.
-    std::optional<replaced_worker> replaced;
-};
-
-/// A run that the worker should execute.
-struct start_order {
-    task_name task;
-    run_number run;
-    std::string payload;
-    std::string checkpoint;
-    resources needs;
-    /// Earlier runs of the task were lost with their workers, so the start is sent only to a worker
-    /// that has just responded.
-    bool confirm_worker = false;
-};
-
-struct stop_order {
-    task_name task;
-    run_number run;
-};
-
-/// The resources of a run that an earlier guard has started.
-struct run_needs {
-    task_name task;
-    run_number run;
-    resources needs;
-};
-
-/// The runs that a guard should start and stop on its worker.
-struct worker_orders {
-    worker_instance worker;
-    /// Ended runs up to this sequence number are stored, so the worker may forget them.
-    std::uint64_t ends_stored = 0;
-    std::vector<start_order> starts;
-    std::vector<stop_order> stops;
-    /// Of the listed runs for which the guard does not know them.
-    std::vector<run_needs> needs;
-};
-
-/// Job progress that must be stored before any order that depends on it is sent.
-struct progress_batch {
-    struct change {
-        job_id job;
-        job_progress progress;
-    };
-    std::vector<change> changes;
-    /// Highest sequence number of the ended runs that were applied, for each worker instance.
-    std::map<worker_instance, std::uint64_t> applied_ends;
-};
-
-/// Counters of scheduling decisions, exported as metrics.
-struct scheduler_counts {
-    std::uint64_t started = 0;
-    std::uint64_t done = 0;
-    std::uint64_t failed = 0;
-    std::uint64_t stopped = 0;
-    std::uint64_t lost = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t preempted = 0;
-    /// Crashes of workers that had runs.
-    std::uint64_t worker_crashes = 0;
-    /// Trials of tasks suspected of crashing workers, and how many of them passed.
-    std::uint64_t trials = 0;
-    std::uint64_t trials_passed = 0;
-    /// Jobs that were given up because a task crashes workers.
-    std::uint64_t given_up = 0;
-    /// Jobs that were given up because their state cannot be stored.
-    std::uint64_t unstorable = 0;
-};
-
 /// Decides where each task runs.
 ///
 /// Does no I/O and reads no clock: the caller passes in the time and all events. The caller stores
--- /dev/null
+++ b/src/baobabrack/workload/scheduler_node_metrics.cpp
@@ -0,0 +1,86 @@
+// Logs and metrics of the decisions.
+#include "baobabrack/observe/json_log.hpp"
+#include "baobabrack/workload/scheduler_node.hpp"
+#include "baobabrack/workload/scheduler_node_limits.hpp"
+
+namespace baobabrack::workload {
+
+void scheduler_node::log_decisions() {
+    for (const auto& decision : scheduler_->drain_decision_events()) {
+        log_event event(log_level::info, decision.event);
+        if (!decision.task.step.job.get().empty()) {
+            event.field("job", decision.task.step.job.get());
+        }
+        if (decision.run.get() > 0) {
+            event.field("task", to_text(decision.task)).field("run", decision.run.get());
+        }
+        if (!decision.host.get().empty()) {
+            event.field("host", decision.host.get());
+        }
+        if (!decision.detail.empty()) {
+            event.field("reason", decision.detail);
+        }
+        event.field("term", term_.get());
+        if (!leadership_confirmed()) {
+            // Another scheduler may be the leader by now; then this decision is not stored.
+            event.field("proof_age_ms", to_ms(deps_.loop.now() - writer_.last_confirmed()));
+        }
+        if (const auto* config = deps_.config.current()) {
+            event.field("config_version", config->version.get());
+        }
+    }
+}
+
+void scheduler_node::update_metrics() {
+    metrics_updated_ = deps_.loop.now();
+    auto& metrics = deps_.metrics;
+    metrics.get_gauge("baobabrack_leading", "Whether this scheduler leads")
+        .set(is_leader() ? 1 : 0);
+    metrics.get_gauge("baobabrack_jobs", "Jobs that are known")
+        .set(static_cast<double>(jobs_.jobs().size()));
+    metrics.get_gauge("baobabrack_records_unreadable", "Stored records that could not be read")
+        .set(static_cast<double>(jobs_.unreadable_records()));
+    if (!is_leader()) {
+        return;
+    }
+    const auto& counts = scheduler_->counts();
+    const auto set = [&](const char* event, std::uint64_t value) {
+        metrics
+            .get_gauge("baobabrack_runs", "Runs by what became of them, under this leader",
+                       {{"event", event}})
+            .set(static_cast<double>(value));
+    };
+    const auto set_trials = [&](const char* event, std::uint64_t value) {
+        metrics
+            .get_gauge("baobabrack_trials",
+                       "Trials of tasks suspected of crashing workers, under this leader",
+                       {{"event", event}})
+            .set(static_cast<double>(value));
+    };
+    set("started", counts.started);
+    set("done", counts.done);
+    set("failed", counts.failed);
+    set("stopped", counts.stopped);
+    set("lost", counts.lost);
+    set("refused", counts.refused);
+    set("preempted", counts.preempted);
+    metrics
+        .get_gauge("baobabrack_worker_crashes",
+                   "Crashes of workers that had runs, under this leader")
+        .set(static_cast<double>(counts.worker_crashes));
+    set_trials("begun", counts.trials);
+    set_trials("passed", counts.trials_passed);
+    metrics
+        .get_gauge("baobabrack_jobs_given_up",
+                   "Jobs with a task that crashes workers, under this leader")
+        .set(static_cast<double>(counts.given_up));
+    metrics
+        .get_gauge("baobabrack_jobs_unstorable",
+                   "Jobs that were given up as the store does not take their state, under this "
+                   "leader")
+        .set(static_cast<double>(counts.unstorable));
+    metrics.get_gauge("baobabrack_open_jobs", "Jobs that have not ended")
+        .set(static_cast<double>(scheduler_->open_jobs()));
+}
+
+}  // namespace baobabrack::workload
