Stop runs on workers that leave before the runs can end

Cause: a worker that is taken away at short notice says how long it stays.

Change: guards report the announced time left, counting it down. The metric baobabrack_runs has the event "departed".

Also: the objective of a scheduled job counts from when its occurrence is due; counted from the submission, later occurrences ranked as jobs without value.

--- a/src/baobabrack/daemon/scheduler_program.cpp
+++ b/src/baobabrack/daemon/scheduler_program.cpp
@@ -27,6 +27,8 @@
 constexpr double drain_timeout_fraction = 0.8;
 // Fraction of the time limit for the revocation of a key, after which calls with keys are refused.
 constexpr double revocation_fraction = 0.6;
+// Time from a decision until a worker has it, and from the end of a run until its report arrives.
+constexpr duration order_delay = 100ms;
 // Fraction of the maximum lease that a worker is granted; shorter leases release lost runs sooner.
 constexpr double lease_fraction = 0.6;
 constexpr std::uint32_t default_connection_limit = 2048;
@@ -53,6 +55,7 @@
     return {.lease = from_ms(bounds.most_lease_ms() * lease_fraction),
             .lease_slack = from_ms(bounds.thaw_slack_ms() + bounds.stop_timeout_ms()),
             .reclaim_timeout = from_ms(bounds.reclaim_timeout_ms()),
+            .max_stop_delay = from_ms(bounds.stop_timeout_ms()) + order_delay,
             .remote_penalty = bounds.remote_penalty()};
 }
 
--- a/src/baobabrack/workload/queue_order.cpp
+++ b/src/baobabrack/workload/queue_order.cpp
@@ -15,6 +15,23 @@
 constexpr double late_rank = 1e6;
 constexpr double no_value_rank = 2e6;
 
+// Returns when the objective of an occurrence begins to count.
+wall_time start_of(const job_spec& spec, const occurrence_progress& occurrence) {
+    const auto offset = std::chrono::duration_cast<std::chrono::milliseconds>(spec.interval) *
+                        static_cast<std::int64_t>(occurrence.number);
+    return spec.occurrences == 0 ? spec.submitted : spec.first_due + offset;
+}
+
+// Returns for how long the objective of the earliest open occurrence has been counting.
+duration age_of(const job_spec& spec, const job_progress& progress, wall_time wall_now) {
+    for (const auto& occurrence : progress.occurrences) {
+        if (!occurrence.done) {
+            return wall_now - start_of(spec, occurrence);
+        }
+    }
+    return wall_now - spec.submitted;
+}
+
 double remaining_work(const job_spec& spec, const job_progress& progress) {
     double work = 0;
     for (const auto& occurrence : progress.occurrences) {
@@ -40,7 +57,7 @@
 double rank_of(const job_spec& spec, const job_progress& progress, wall_time wall_now) {
     const auto work = std::min(remaining_work(spec, progress), late_rank / 2);
     const auto objective = objective_of(spec);
-    const duration age = wall_now - spec.submitted;
+    const auto age = age_of(spec, progress, wall_now);
     if (age > objective * max_lateness_factor) {
         return no_value_rank + work;
     }
--- a/src/baobabrack/workload/scheduler.cpp
+++ b/src/baobabrack/workload/scheduler.cpp
@@ -181,6 +181,7 @@
         return;
     }
     ref.state->stopping = true;
+    ref.state->stopping_since = {};
     ref.job->needs_update = true;
     capacity_changed_ = true;
     ++counts_.stopped;
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -40,6 +40,10 @@
         duration silence_limit = std::chrono::milliseconds{1800};
         /// A job of priority 0 within its workspace's guarantee starts within this time.
         duration reclaim_timeout = std::chrono::milliseconds{2700};
+        /// Usual time from the decision to stop a run until its end is reported.
+        duration stop_delay = std::chrono::milliseconds{300};
+        /// Longest such time.
+        duration max_stop_delay = std::chrono::milliseconds{500};
         /// Factor by which a task runs longer away from its data or in a gang across racks.
         double remote_penalty = 3;
         /// What the progress record of a job may have, in bytes.
@@ -124,6 +128,8 @@
         /// How often runs of the task have been stopped because they made no progress.
         std::uint32_t stall_count = 0;
         time_point assigned_at{};
+        /// When a forecast first saw that the current run is being stopped; zero if none has.
+        time_point stopping_since{};
         /// The guard has sent the start of the current run.
         bool sent = false;
         /// The worker has confirmed that the current run has begun.
@@ -325,6 +331,8 @@
     std::set<task_name> find_borrowing_runs(const guarantee_uses& uses, time_point now);
     void stop_victim(const victim& chosen);
     void expire_silent_workers(time_point now);
+    static void update_departure(worker_state& worker, time_point now);
+    void stop_departing_runs(time_point now);
     duration lease_expiry_bound(duration lease) const;
     void add_decision_event(std::string event, const task_name& task, run_number run,
                             const host_id& host, std::string detail = {});
--- a/src/baobabrack/workload/scheduler_capacity.cpp
+++ b/src/baobabrack/workload/scheduler_capacity.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr double full_percent = 100;
-// Time from the decision to stop a run until its end is reported.
-constexpr duration stop_delay = std::chrono::milliseconds{300};
 // Work in seconds that a run with checkpoints loses when it is stopped.
 constexpr double checkpoint_loss = 0.5;
 // Added to the lost work, in seconds, for each earlier preemption of the task. Without it, a task
@@ -34,7 +32,7 @@
 // Returns nothing for a run that lasts until its job is cancelled.
 std::optional<time_point> scheduler::expected_end(const task_ref& ref, time_point now) const {
     if (ref.state->stopping) {
-        return now + stop_delay;
+        return std::max(now, ref.state->stopping_since + options_.stop_delay);
     }
     if (ref.step->long_running) {
         return std::nullopt;
@@ -59,6 +57,9 @@
     for (auto& [id, job] : jobs_) {
         for_each_task(job, [&](const task_ref& ref) {
             const auto position = position_of(ref.state->worker, left);
+            if (ref.state->stopping && ref.state->stopping_since == time_point{}) {
+                ref.state->stopping_since = now;
+            }
             const auto end = position ? expected_end(ref, now) : std::nullopt;
             if (end) {
                 releases.push_back({.time = *end,
@@ -78,7 +79,7 @@
 bool scheduler::preempt_for(const waiting_group& waiting, placement_pass& pass,
                             const placement_constraints& limits) {
     const auto& group = waiting.group;
-    const auto freed_at = pass.now + stop_delay;
+    const auto freed_at = pass.now + options_.stop_delay;
     // A run past its expected end always seems to be about to end, so a guarantee relies on none.
     const auto free = is_guarantee_due(waiting, pass.now) ? pass.forecast.unreserved_after_stops()
                                                           : pass.forecast.unreserved_at(freed_at);
--- a/src/baobabrack/workload/scheduler_counts.hpp
+++ b/src/baobabrack/workload/scheduler_counts.hpp
@@ -14,6 +14,8 @@
     std::uint64_t lost = 0;
     std::uint64_t refused = 0;
     std::uint64_t preempted = 0;
+    /// Runs that were stopped because their worker leaves.
+    std::uint64_t departed = 0;
     /// Crashes of workers that had runs.
     std::uint64_t worker_crashes = 0;
     /// Trials of tasks suspected of crashing workers, and how many of them passed.
--- a/src/baobabrack/workload/scheduler_node_metrics.cpp
+++ b/src/baobabrack/workload/scheduler_node_metrics.cpp
@@ -64,6 +64,7 @@
     set("lost", counts.lost);
     set("refused", counts.refused);
     set("preempted", counts.preempted);
+    set("departed", counts.departed);
     metrics
         .get_gauge("baobabrack_worker_crashes",
                    "Crashes of workers that had runs, under this leader")
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -33,6 +33,7 @@
                         worker.facts.capacity != report.facts.capacity ||
                         worker.capacity_outdated != report.capacity_outdated;
     worker.facts = report.facts;
+    update_departure(worker, now);
     worker.capacity_outdated = report.capacity_outdated;
     worker.last_heard = now;
     worker.first_heard = worker.first_heard == time_point{} ? now : worker.first_heard;
--- a/src/baobabrack/workload/worker_guard.cpp
+++ b/src/baobabrack/workload/worker_guard.cpp
@@ -145,6 +145,7 @@
         announcement.facts.draining && (!same_instance || !facts_->draining);
     const bool capacity_changed = same_instance && facts_->capacity != announcement.facts.capacity;
     facts_ = announcement.facts;
+    announced_at_ = loop_.now();
     announcement_sequence_ = announcement.sequence;
     announcement_age_.record_announcement(announcement.clock, loop_.now());
     check_announcement_age();
@@ -206,6 +207,10 @@
     report.facts.instance.host = options_.host;
     if (facts_) {
         report.facts = *facts_;
+        if (facts_->time_left) {
+            report.facts.time_left =
+                std::max(*facts_->time_left - (loop_.now() - announced_at_), duration::zero());
+        }
         suspend_lease_if_silent();
         report.lease_suspended = lease_.suspended();
         report.lease_remaining = lease_.remaining(loop_.now());
--- a/src/baobabrack/workload/worker_guard.hpp
+++ b/src/baobabrack/workload/worker_guard.hpp
@@ -112,6 +112,7 @@
     time_point instance_seen_at_{};
     std::optional<wall_time> instance_began_;
     std::uint64_t announcement_sequence_ = 0;
+    time_point announced_at_{};
     announcement_age announcement_age_;
     bool capacity_outdated_ = false;
     worker_lease lease_;
--- a/src/baobabrack/workload/worker_table.cpp
+++ b/src/baobabrack/workload/worker_table.cpp
@@ -26,6 +26,9 @@
 // Without a sample for this long a worker counts as fast again.
 constexpr duration sample_retention = std::chrono::seconds{4};
 
+// A longer time is no notice of a departure. Keeps sums of times in range.
+constexpr std::uint64_t max_time_left_ms = 86'400'000;
+
 template <typename Amount>
 Amount subtract(const Amount& total, const Amount& used) {
     return total > used ? Amount{total.get() - used.get()} : Amount{0};
@@ -47,6 +50,10 @@
                      .accelerators = accelerator_count{record.accelerators()}},
         .draining = record.draining(),
     };
+    if (record.has_time_left_ms()) {
+        facts.time_left = std::chrono::milliseconds{
+            static_cast<std::int64_t>(std::min(record.time_left_ms(), max_time_left_ms))};
+    }
     for (const auto& text : record.labels()) {
         facts.labels.emplace_back(text);
     }
@@ -67,6 +74,10 @@
     record.set_memory_mib(facts.capacity.memory.get());
     record.set_accelerators(facts.capacity.accelerators.get());
     record.set_draining(facts.draining);
+    if (facts.time_left) {
+        record.set_time_left_ms(static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(*facts.time_left).count()));
+    }
     return record;
 }
 
--- a/src/baobabrack/workload/worker_table.hpp
+++ b/src/baobabrack/workload/worker_table.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +27,9 @@
     std::vector<label> labels;
     resources capacity;
     bool draining = false;
+    /// Time until a draining worker leaves, as of the announcement or report; nothing if not
+    /// announced.
+    std::optional<duration> time_left;
 };
 
 worker_facts from_wire(const host_id& host, const wire::WorkloadWorker& record);
@@ -130,6 +134,8 @@
     time_point first_heard{};
     /// When the worker instance began.
     time_point began{};
+    /// When a draining worker leaves; nothing if it has not announced that.
+    std::optional<time_point> departure;
     /// When the worker returned its latest run lists; zero if this leader has seen none.
     time_point lists_at{};
     /// The same of the last instance that crashed; zero if this is unknown.
