Answer calls for a job only to its owner

Cause: status requests, cancellations and repeated submissions looked a job up by its id alone, so the valid key of any workspace, or no key on a public queue, showed, cancelled or confirmed the job of another workspace.

Change: check_access() compares the job's workspace with that of the call's key; a job without a workspace belongs to its queue. A stranger gets the answer to an id that was never used: 410, after the same reading of the store for a cancellation; 400 for a submission under the id. A job that was accepted under a newer configuration than this scheduler's is answered 503 (a submission: 504) instead, since the caller may own it. Such calls are counted and logged.

--- a/src/baobabrack/workload/job_frontend.cpp
+++ b/src/baobabrack/workload/job_frontend.cpp
@@ -46,6 +46,10 @@
         .field("slack", spec.slack_factor);
 }
 
+frontend_reply reply_to_foreign_submission() {
+    return {.status = reply_status::invalid, .reason = "the id is taken"};
+}
+
 }  // namespace
 
 std::string_view to_string(reply_status status) {
@@ -152,8 +156,9 @@
         done(reply);
         return;
     }
-    if (node_.jobs().find(id) != nullptr) {
-        const frontend_reply reply{.reason = "the job was submitted before"};
+    const auto caller = to.caller();
+    if (const auto* known = node_.jobs().find(id)) {
+        const auto reply = reply_to_repetition(*known, caller);
         record_reply("submit", id, reply);
         done(reply);
         return;
@@ -161,13 +166,19 @@
     log_submission(spec);
     const auto started = loop_.now();
     node_.submit(
-        spec, store_timeout(deadline), [this, id, started, done = std::move(done)](auto receipt) {
+        spec, store_timeout(deadline),
+        [this, id, caller, started, done = std::move(done)](auto receipt) {
             frontend_reply reply;
+            const auto* stored = node_.jobs().find(id);
             if (receipt == intake_writer::receipt::not_stored) {
                 reply = {.status = reply_status::not_now, .reason = "the store cannot be reached"};
                 reply.retry_after = retry_delay();
             } else if (receipt == intake_writer::receipt::unknown) {
                 reply = {.status = reply_status::unclear, .reason = "the store has not confirmed"};
+            } else if (stored != nullptr &&
+                       check_call("submit", *stored, caller) != job_access::granted) {
+                // Another caller's record of this id was read in the meantime, and it came first.
+                reply = reply_to_foreign_submission();
             } else {
                 metrics_
                     .get_latency_histogram("baobabrack_submission_stored_seconds",
@@ -179,12 +190,48 @@
         });
 }
 
+// Counts and logs a call for a job of another owner.
+job_access job_frontend::check_call(const std::string& call, const stored_job& job,
+                                    const caller_identity& caller) {
+    const auto access = check_access(job.spec, caller);
+    if (access == job_access::granted) {
+        return access;
+    }
+    metrics_
+        .get_counter("baobabrack_foreign_calls_total",
+                     "Calls for a job that the caller does not own", {{"call", call}})
+        .add();
+    log_event(log_level::warning, "foreign-call")
+        .field("call", call)
+        .field("job", job.spec.id.get())
+        .field("owner", job.spec.workspace.get())
+        .field("workspace", caller.workspace.get())
+        .field("queue", caller.queue.get())
+        .field("denied", access == job_access::denied);
+    return access;
+}
+
+frontend_reply job_frontend::reply_to_repetition(const stored_job& job,
+                                                 const caller_identity& caller) {
+    switch (check_call("submit", job, caller)) {
+        case job_access::granted:
+            return {.reason = "the job was submitted before"};
+        case job_access::denied:
+            break;
+        case job_access::undetermined:
+            // The caller may own the job, so it must not be told that the job never runs.
+            return {.status = reply_status::unclear, .reason = "the configuration is out of date"};
+    }
+    return reply_to_foreign_submission();
+}
+
 // That there is no such job is a final answer to a cancellation, so the table must be as new as the
-// request: another scheduler may have accepted the job a moment ago.
-void job_frontend::cancel(const route& /*to*/, const job_id& id, duration deadline,
+// request: another scheduler may have accepted the job a moment ago. A job of another owner takes
+// the same path, so that the time of the answer does not show that it exists.
+void job_frontend::cancel(const route& to, const job_id& id, duration deadline,
                           reply_handler done) {
-    if (node_.jobs().find(id) != nullptr) {
-        cancel_known(id, deadline, std::move(done));
+    const auto caller = to.caller();
+    if (cancel_if_owned(id, caller, deadline, done)) {
         return;
     }
     const auto finish = [this, id, done](reply_status status, std::string reason) {
@@ -199,17 +246,33 @@
         finish(reply_status::not_now, "the stored jobs may be newer");
         return;
     }
-    node_.refresh_jobs([this, id, deadline, done, finish](bool complete) {
+    node_.refresh_jobs([this, id, caller, deadline, done, finish](bool complete) {
         if (!complete) {
             finish(reply_status::not_now, "the stored jobs cannot be read");
-        } else if (node_.jobs().find(id) == nullptr) {
-            finish(reply_status::unknown_job, "no such job");
+            return;
+        }
+        if (cancel_if_owned(id, caller, deadline, done)) {
+            return;
+        }
+        const auto* job = node_.jobs().find(id);
+        if (job != nullptr && check_call("cancel", *job, caller) == job_access::undetermined) {
+            finish(reply_status::not_now, "the configuration is out of date");
         } else {
-            cancel_known(id, deadline, done);
+            finish(reply_status::unknown_job, "no such job");
         }
     });
 }
 
+bool job_frontend::cancel_if_owned(const job_id& id, const caller_identity& caller,
+                                   duration deadline, const reply_handler& done) {
+    const auto* job = node_.jobs().find(id);
+    if (job == nullptr || check_access(job->spec, caller) != job_access::granted) {
+        return false;
+    }
+    cancel_known(id, deadline, done);
+    return true;
+}
+
 void job_frontend::cancel_known(const job_id& id, duration deadline, reply_handler done) {
     if (node_.jobs().find(id)->cancelled) {
         const frontend_reply reply;
@@ -229,11 +292,14 @@
     });
 }
 
-frontend_reply job_frontend::job_state(const route& /*to*/, const job_id& id) {
+frontend_reply job_frontend::job_state(const route& to, const job_id& id) {
     frontend_reply reply;
-    if (const auto* job = node_.jobs().find(id)) {
+    const auto* job = node_.jobs().find(id);
+    const auto access =
+        job == nullptr ? job_access::denied : check_call("state", *job, to.caller());
+    if (access == job_access::granted) {
         reply.phase = job_table::visible_phase(*job);
-    } else if (node_.is_up_to_date()) {
+    } else if (access == job_access::denied && node_.is_up_to_date()) {
         reply = {.status = reply_status::unknown_job, .reason = "no such job"};
     } else {
         reply = {.status = reply_status::not_now,
--- a/src/baobabrack/workload/job_frontend.hpp
+++ b/src/baobabrack/workload/job_frontend.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <string>
 
+#include "baobabrack/workload/job_access.hpp"
 #include "baobabrack/workload/scheduler_node.hpp"
 
 namespace baobabrack::workload {
@@ -46,7 +47,7 @@
 /// Serves callers' submissions, state queries and cancellations.
 ///
 /// Finds the queue, checks the API key, and reports that a call had no effect only if that is
-/// certain.
+/// certain. To a caller that does not own a job, the job does not exist.
 class job_frontend {
 public:
     struct options {
@@ -70,12 +71,18 @@
         config_version config;
         workspace_id workspace;
         std::string path_suffix;
+
+        /// @return the origin of the call; only for a request that is not refused
+        caller_identity caller() const {
+            return {.workspace = workspace, .queue = queue->id, .config = config};
+        }
     };
 
     /// Finds the queue and checks the key. `queue` is null if the request is refused.
     route find_route(const request_address& request);
 
-    /// Submits a job after setting the fields that its queue determines.
+    /// Submits a job after setting the fields that its queue determines. Rejects an id that another
+    /// owner has taken.
     void submit(const route& to, job_spec spec, duration deadline, reply_handler done);
 
     void cancel(const route& to, const job_id& id, duration deadline, reply_handler done);
@@ -91,6 +98,11 @@
     bool config_is_recent() const;
     std::chrono::seconds retry_delay() const;
     duration store_timeout(duration deadline) const;
+    job_access check_call(const std::string& call, const stored_job& job,
+                          const caller_identity& caller);
+    frontend_reply reply_to_repetition(const stored_job& job, const caller_identity& caller);
+    bool cancel_if_owned(const job_id& id, const caller_identity& caller, duration deadline,
+                         const reply_handler& done);
     void cancel_known(const job_id& id, duration deadline, reply_handler done);
     void record_reply(const std::string& call, const job_id& id, const frontend_reply& reply);
 
--- a/tests/workload/job_frontend.tests.cpp
+++ b/tests/workload/job_frontend.tests.cpp
@@ -169,3 +169,122 @@
     CHECK(cluster.run_until([&] { return answered == 500; }, 1s));
     CHECK(cluster.loop.now() - began < 50ms);
 }
+
+namespace {
+
+/// A cluster whose configuration has two workspaces, a private and a public queue.
+class shared_cluster : public simulated_cluster {
+public:
+    explicit shared_cluster(std::uint64_t seed) : simulated_cluster(seed, {.run_time = 20s}) {
+        config.config.queues.push_back({.id = queue_id{"open"},
+                                        .host = "host",
+                                        .path_prefix = "/open/",
+                                        .service = service_id{"service"},
+                                        .is_public = true});
+        config.config.workspaces.push_back(
+            {.id = workspace_id{"stranger"}, .keys = {"foreign"}, .guaranteed = {}});
+        run_for(2s);
+    }
+
+    job_frontend::route route(const std::string& path, const std::string& key) {
+        return frontend_.find_route({.host = "host", .path = path + "j", .key = key});
+    }
+
+    reply_status submit_by(const std::string& path, const std::string& key, const std::string& id) {
+        std::optional<frontend_reply> received;
+        frontend_.submit(route(path, key), job_of(id, 1, 1), 3s,
+                         [&](const frontend_reply& answer) { received = answer; });
+        run_until([&] { return received.has_value(); }, 4s);
+        REQUIRE(received);
+        return received->status;
+    }
+
+    reply_status cancel_by(const std::string& path, const std::string& key, const std::string& id) {
+        std::optional<frontend_reply> received;
+        frontend_.cancel(route(path, key), job_id{id}, 3s,
+                         [&](const frontend_reply& answer) { received = answer; });
+        run_until([&] { return received.has_value(); }, 4s);
+        REQUIRE(received);
+        return received->status;
+    }
+
+    reply_status state_by(const std::string& path, const std::string& key, const std::string& id) {
+        return frontend_.job_state(route(path, key), job_id{id}).status;
+    }
+
+    bool is_cancelled(const std::string& id) {
+        return scheduler(0)->jobs().find(job_id{id})->cancelled;
+    }
+
+private:
+    metrics_registry metrics_;
+    job_frontend frontend_{{}, loop, *scheduler(0), config, metrics_};
+};
+
+}  // namespace
+
+// A status request with the valid key of another workspace showed the job's state, a cancellation
+// cancelled it, and a submission under its id was answered as accepted.
+TEST_CASE("To another workspace a job does not exist", "[frontend][access]") {
+    shared_cluster cluster(41);
+    REQUIRE(cluster.submit_by("/queue/", "key", "j") == reply_status::accepted);
+    for (const std::string path : {"/queue/", "/open/"}) {
+        INFO(path);
+        CHECK(cluster.state_by(path, "foreign", "j") == reply_status::unknown_job);
+        CHECK(cluster.cancel_by(path, "foreign", "j") == reply_status::unknown_job);
+        CHECK(cluster.submit_by(path, "foreign", "j") == reply_status::invalid);
+    }
+    CHECK(cluster.state_by("/open/", "", "j") == reply_status::unknown_job);
+    CHECK(cluster.cancel_by("/open/", "", "j") == reply_status::unknown_job);
+    CHECK(cluster.submit_by("/open/", "", "j") == reply_status::invalid);
+    CHECK_FALSE(cluster.is_cancelled("j"));
+    CHECK(cluster.state_by("/queue/", "key", "j") == reply_status::accepted);
+    CHECK(cluster.submit_by("/queue/", "key", "j") == reply_status::accepted);
+}
+
+TEST_CASE("A workspace reaches its job by way of any queue and with any of its keys",
+          "[frontend][access]") {
+    shared_cluster cluster(42);
+    REQUIRE(cluster.submit_by("/open/", "key", "j") == reply_status::accepted);
+    CHECK(cluster.state_by("/open/", "key", "j") == reply_status::accepted);
+    CHECK(cluster.state_by("/queue/", "key", "j") == reply_status::accepted);
+    auto& config = cluster.config.config;
+    config.version = config_version{config.version.get() + 1};
+    for (auto& queue : config.queues) {
+        queue.path_prefix = "/moved" + queue.path_prefix;
+    }
+    config.workspaces.front().keys = {"new"};
+    CHECK(cluster.state_by("/moved/open/", "new", "j") == reply_status::accepted);
+    CHECK(cluster.submit_by("/moved/queue/", "new", "j") == reply_status::accepted);
+    CHECK(cluster.cancel_by("/moved/queue/", "new", "j") == reply_status::accepted);
+    CHECK(cluster.is_cancelled("j"));
+}
+
+TEST_CASE("A job that was submitted without a key belongs to its queue", "[frontend][access]") {
+    shared_cluster cluster(43);
+    REQUIRE(cluster.submit_by("/open/", "", "j") == reply_status::accepted);
+    CHECK(cluster.state_by("/queue/", "key", "j") == reply_status::unknown_job);
+    CHECK(cluster.cancel_by("/queue/", "key", "j") == reply_status::unknown_job);
+    CHECK(cluster.state_by("/open/", "", "j") == reply_status::accepted);
+    CHECK(cluster.state_by("/open/", "key", "j") == reply_status::accepted);
+    cluster.config.config.queues.back().path_prefix = "/moved/";
+    CHECK(cluster.submit_by("/moved/", "", "j") == reply_status::accepted);
+    CHECK(cluster.cancel_by("/moved/", "", "j") == reply_status::accepted);
+    CHECK(cluster.is_cancelled("j"));
+}
+
+// A scheduler whose configuration is older than the one of the job's acceptance may not know the
+// key of the job's owner yet, so its answer must not be final.
+TEST_CASE("A caller is not refused for good by a configuration older than the job",
+          "[frontend][access]") {
+    shared_cluster cluster(44);
+    auto& config = cluster.config.config;
+    const auto older = config;
+    config.version = config_version{config.version.get() + 1};
+    config.workspaces.front().keys = {"new"};
+    REQUIRE(cluster.submit_by("/open/", "new", "j") == reply_status::accepted);
+    config = older;
+    CHECK(cluster.state_by("/open/", "new", "j") == reply_status::not_now);
+    CHECK(cluster.cancel_by("/open/", "new", "j") == reply_status::not_now);
+    CHECK(cluster.submit_by("/open/", "new", "j") == reply_status::unclear);
+}
