Count a job as pending until a worker has started one of its tasks

Cause: Pending counted jobs whose phase is queued, and the phase becomes active as soon as a worker is chosen. A job whose only start was refused was not counted, so a queue without any started task was reported as empty.

Change: the stored progress says whether a task has begun, that is, whether a worker has accepted a start, listed a run or reported its end. Pending counts open jobs that have not begun. The phase shown to callers is as before.

The test of Pending in job_table.tests.cpp took a chosen worker for a started task; it now sets both, and also covers an ended job.

--- a/src/baobabrack/workload/job_progress.cpp
+++ b/src/baobabrack/workload/job_progress.cpp
@@ -197,6 +197,7 @@
     job_progress progress;
     progress.phase = static_cast<job_phase>(record.state());
     progress.ended = wall_time{milliseconds{record.ended_unix_ms()}};
+    progress.begun = record.begun();
     for (const auto& stored : record.occurrences()) {
         if (stored.done()) {
             progress.occurrences.push_back({.number = stored.number(), .done = true, .steps = {}});
@@ -223,6 +224,7 @@
     wire::WorkloadProgress record;
     record.set_state(static_cast<wire::WorkloadProgress::State>(progress.phase));
     record.set_ended_unix_ms(static_cast<std::uint64_t>(progress.ended.time_since_epoch().count()));
+    record.set_begun(progress.begun);
     if (has_ended(progress.phase)) {
         return record;
     }
--- a/src/baobabrack/workload/job_progress.hpp
+++ b/src/baobabrack/workload/job_progress.hpp
@@ -64,6 +64,8 @@
     job_phase phase = job_phase::queued;
     std::vector<occurrence_progress> occurrences;
     wall_time ended{};
+    /// A worker has started a task of the job. A start that was ordered may still be refused.
+    bool begun = false;
 };
 
 /// @return an occurrence whose tasks are all waiting
--- a/src/baobabrack/workload/job_table.cpp
+++ b/src/baobabrack/workload/job_table.cpp
@@ -164,7 +164,8 @@
 std::uint64_t job_table::count_pending(const queue_id& queue) const {
     std::uint64_t count = 0;
     for (const auto& [id, job] : jobs_) {
-        const bool pending = visible_phase(job) == job_phase::queued && job.spec.occurrences == 0;
+        const bool pending =
+            !has_ended(visible_phase(job)) && !job.progress.begun && job.spec.occurrences == 0;
         count += pending && job.spec.queue == queue ? 1 : 0;
     }
     return count;
--- a/src/baobabrack/workload/job_table.hpp
+++ b/src/baobabrack/workload/job_table.hpp
@@ -43,8 +43,8 @@
     ///         runs are still stopping
     static job_phase visible_phase(const stored_job& job);
 
-    /// @return the number of jobs in a queue that have not started any task; jobs with due times
-    ///         don't count
+    /// @return the number of open jobs in a queue of which no worker has started a task, also if a
+    ///         start was ordered or refused; jobs with due times don't count
     std::uint64_t count_pending(const queue_id& queue) const;
 
     /// @return jobs that ended before the given time, including those of which only the progress is
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -236,6 +236,7 @@
     void apply_end_of_lost_run(const ended_run& end, const task_ref& ref);
     void apply_end_of_earlier_run(const ended_run& end, const task_ref& ref);
     void apply_refusal(const refused_run& refusal, const worker_instance& place, time_point now);
+    static void mark_begun(const task_ref& ref);
     void apply_runs(const worker_report& report, time_point now);
     void mark_runs_lost(const worker_instance& place, const std::string& why);
     resources used_by(const worker_instance& instance);
--- a/src/baobabrack/workload/scheduler_crashes.cpp
+++ b/src/baobabrack/workload/scheduler_crashes.cpp
@@ -175,7 +175,7 @@
                        "worker " + place.worker.get() + " carried it out in a newer instance");
     ref->task->place = place;
     ref->state->sent = true;
-    ref->state->begun = true;
+    mark_begun(*ref);
     ref->job->dirty = true;
 }
 
@@ -185,7 +185,9 @@
         if (ref && ref->task->phase == task_phase::assigned && ref->task->run == run.run &&
             ref->task->place == replaced.instance) {
             ref->state->sent = true;
-            ref->state->begun = ref->state->begun || run.begun;
+            if (run.begun) {
+                mark_begun(*ref);
+            }
         }
     }
 }
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -85,6 +85,10 @@
                        std::string{to_string(end.outcome)} +
                            (lost ? ", taken for lost before" : "") +
                            (current || lost ? "" : ", not the current run"));
+    // A short run ends before a report lists it.
+    if ((current || lost || earlier) && !std::exchange(ref->job->progress.begun, true)) {
+        ref->job->dirty = true;
+    }
     if (lost) {
         apply_end_of_lost_run(end, *ref);
         return;
@@ -182,6 +186,14 @@
     return lease + lease / 25 + options_.lease_slack;
 }
 
+// Records that the worker has started the task's current run.
+void scheduler::mark_begun(const task_ref& ref) {
+    ref.state->begun = true;
+    if (!std::exchange(ref.job->progress.begun, true)) {
+        ref.job->dirty = true;
+    }
+}
+
 // Updates checkpoints and progress from the listed runs.
 void scheduler::apply_runs(const worker_report& report, time_point now) {
     auto& worker = workers_.find_or_add(report.facts.instance.host);
@@ -197,7 +209,9 @@
             continue;
         }
         ref->state->sent = true;
-        ref->state->begun = ref->state->begun || run.begun;
+        if (run.begun) {
+            mark_begun(*ref);
+        }
         if (run.listed) {
             const auto listed_at = now - report.lists_age;
             auto& state = *ref->state;
--- a/tests/workload/job_table.tests.cpp
+++ b/tests/workload/job_table.tests.cpp
@@ -72,8 +72,14 @@
     job_table table;
     table.apply_intake("job/a", record_of(job_of("a", 1, 1)), log_offset{1});
     table.apply_intake("job/b", record_of(job_of("b", 1, 1)), log_offset{2});
+    table.apply_intake("job/c", record_of(job_of("c", 1, 1)), log_offset{3});
     job_progress active{.phase = job_phase::active, .occurrences = {}, .ended = {}};
     table.apply_progress("progress/b", to_wire(active).SerializeAsString(), log_offset{1});
+    CHECK(table.count_pending(queue_id{"queue"}) == 3);
+    active.begun = true;
+    table.apply_progress("progress/b", to_wire(active).SerializeAsString(), log_offset{2});
+    job_progress ended{.phase = job_phase::failed, .occurrences = {}, .ended = {}};
+    table.apply_progress("progress/c", to_wire(ended).SerializeAsString(), log_offset{3});
     CHECK(table.count_pending(queue_id{"queue"}) == 1);
     CHECK(table.count_pending(queue_id{"other"}) == 0);
 }
