Reject numbers out of range with their field's name

Cause: the decoders cast 64-bit numbers to 32 bits (priority, attempts, guarantee, run numbers, indices of earlier steps) or cut them silently (CPU, memory, accelerators), multiplied times that overflow (estimate, interval, start), converted any number to a percentage, and took a worker's clock that could not be read for a reading of 0.

A row of a worker's lists with a run number over 32 bits makes the lists incomplete; a percentage is cut to 0..100; a clock after the year 2100 is no reading. An estimate and a completion target are cut where their sums would overflow; which estimates are valid is decided elsewhere.

--- a/tests/adapter/decoders.tests.cpp
+++ b/tests/adapter/decoders.tests.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "baobabrack/units/seconds.hpp"
 #include "platform/announcements_api.hpp"
 #include "platform/config_decoder.hpp"
 #include "platform/job_decoder.hpp"
@@ -205,3 +206,77 @@
     CHECK_FALSE(decode(std::string(depth, '[') + std::string(depth, ']'), R"(,"Sequence":1)"));
     CHECK_FALSE(decode(std::string(depth, '['), ""));
 }
+
+// Some of these were cut to 32 bits, and others overflowed when they were multiplied later.
+TEST_CASE("A number of a submission that is out of range is rejected with its field's name",
+          "[adapter][ranges]") {
+    const job_id id{"5c0e7a21d94b36f8"};
+    const auto message = [&](const std::string& step, const std::string& more) {
+        const auto job = platform::decode_job(
+            id, R"({"Steps":[{"Count":1},{"Count":1)" + step + "}]" + more + "}");
+        return job ? std::string{} : job.error().message;
+    };
+    CHECK(message(R"(,"Cpu":4294967296)", "") == "step 1 has Cpu out of range");
+    CHECK(message(R"(,"MemMb":-1)", "") == "step 1 has MemMb out of range");
+    CHECK(message(R"(,"Gpu":1e300)", "") == "step 1 has Gpu out of range");
+    CHECK(message(R"(,"AntiAffinity":18446744073709551615)", "") ==
+          "step 1 has AntiAffinity out of range");
+    CHECK(message(R"(,"After":[4294967296])", "") == "step 1 has After out of range");
+    CHECK(message("", R"(,"Repetitions":4294967297)") == "the job has Repetitions out of range");
+    CHECK(message("", R"(,"IntervalMs":9000000000000000)") ==
+          "the job has IntervalMs out of range");
+    CHECK(message("", R"(,"StartAtMs":9000000000000000)") == "the job has StartAtMs out of range");
+    CHECK(message(R"(,"Cpu":4294967295,"After":[0])", R"(,"IntervalMs":86400000)").empty());
+}
+
+TEST_CASE("A long estimate does not overflow when it is added up", "[adapter][ranges]") {
+    std::string steps = R"({"Count":1,"EstimatedMs":9000000000000000})";
+    for (int step = 0; step < 4; ++step) {
+        steps +=
+            R"(,{"Count":1,"EstimatedMs":9000000000000000,"After":[)" + std::to_string(step) + "]}";
+    }
+    const auto job =
+        platform::decode_job(job_id{"5c0e7a21d94b36f8"}, R"({"Steps":[)" + steps + "]}");
+    if (job) {
+        CHECK(to_seconds(workload::critical_path_time(job.value())) >
+              4 * to_seconds(job.value().steps[0].estimated));
+    }
+}
+
+TEST_CASE("A number of the configuration that is out of range is rejected with its field's name",
+          "[adapter][ranges]") {
+    const auto message = [](const std::string& route, const std::string& guaranteed) {
+        const auto config = platform::decode_config(
+            R"({"Version":7,"Routes":[{"Name":"q")" + route +
+            R"(}],"Tenants":[{"Name":"w","Guaranteed":{"Gpu":)" + guaranteed + "}}]}");
+        return config ? std::string{} : config.error().message;
+    };
+    CHECK(message("", "16").empty());
+    CHECK(message(R"(,"Priority":4294967296)", "16") == "Priority is out of range");
+    CHECK(message(R"(,"MaxAttempts":4294967297)", "16") == "MaxAttempts is out of range");
+    CHECK(message("", "4294967296") == "Gpu is out of range");
+    CHECK(message(R"(,"TargetCompletionMs":9000000000000000)", "16").empty());
+}
+
+// A run number was cut to 32 bits, a percentage outside the type was converted, and a clock that
+// could not be read counted as a reading of 0.
+TEST_CASE("A worker's numbers that are out of range are not taken", "[adapter][ranges]") {
+    const auto decode = [](const std::string& body) {
+        return platform::decode_renew_reply(answer(200, body), incarnation{3});
+    };
+    CHECK(decode(R"({"born":3,"Running":[["j.0.1.17",4294967298,"c",41]]})").lists.incomplete);
+    CHECK(
+        decode(R"({"born":3,"Finished":[[1,"j.0.1.17",4294967298,"done",""]]})").lists.incomplete);
+    CHECK(decode(R"({"born":3,"Running":[["j.0.1.17",2,"c",-5]]})").lists.runs.at(0).percent == 0);
+    CHECK(decode(R"({"born":3,"Running":[["j.0.1.17",2,"c",1e300]]})").lists.runs.at(0).percent ==
+          100);
+    CHECK_FALSE(decode(R"({"born":3,"ClockMs":9000000000000000})").reply.clock);
+    CHECK_FALSE(decode(R"({"born":3,"ClockMs":-1})").reply.clock);
+    CHECK(decode(R"({"born":3,"ClockMs":1796460130467})").reply.clock ==
+          workload::worker_time{1796460130467});
+    const auto announcement = platform::decode_announcement(
+        workload::host_id{"h"}, worker_id{"w"},
+        R"({"Service":"s","State":"ready","Capacity":{"Cpu":4294967297},"Sequence":1})");
+    REQUIRE_FALSE(announcement);
+    CHECK(announcement.error().message == "Cpu is out of range");
+}
