Log and count every rejected call, with a bound on the lines

Cause: calls that were refused by host, path, key, age of the configuration, method or body returned before the function that counts and logs answers, and a path without a worker on the announcements address was answered silently. The rejections that were logged had no bound of their own.

--- a/src/baobabrack/daemon/worker_guard_program.cpp
+++ b/src/baobabrack/daemon/worker_guard_program.cpp
@@ -52,7 +52,7 @@
                   .max_announcement_age = std::chrono::milliseconds{static_cast<std::int64_t>(
                       settings_.bounds().contact_timeout_ms())}},
                  loop_, network_, worker_, metrics_),
-          announcements_(guard_, workload::host_id{settings.id()}),
+          announcements_(guard_, workload::host_id{settings.id()}, loop_, metrics_),
           metrics_handler_(metrics_),
           announcements_server_(loop_, server_at(settings_.announcements()), announcements_),
           metrics_server_(loop_, server_at(settings_.metrics()), metrics_handler_) {}
--- a/src/baobabrack/workload/job_frontend.cpp
+++ b/src/baobabrack/workload/job_frontend.cpp
@@ -74,7 +74,13 @@
 
 job_frontend::job_frontend(options opts, runtime& loop, scheduler_node& node,
                            const config_source& config, metrics_registry& metrics)
-    : options_(opts), loop_(loop), node_(node), config_(config), metrics_(metrics) {
+    : options_(opts),
+      loop_(loop),
+      node_(node),
+      config_(config),
+      metrics_(metrics),
+      rejections_(loop, {.topic = "call-answered"}),
+      foreign_calls_(loop, {.topic = "foreign-call"}) {
 }
 
 bool job_frontend::config_is_recent() const {
@@ -201,6 +207,9 @@
         .get_counter("baobabrack_foreign_calls_total",
                      "Calls for a job that the caller does not own", {{"call", call}})
         .add();
+    if (!foreign_calls_.allow()) {
+        return access;
+    }
     log_event(log_level::warning, "foreign-call")
         .field("call", call)
         .field("job", job.spec.id.get())
@@ -322,9 +331,15 @@
         .get_counter("baobabrack_calls_total", "Callers' calls by how they were answered",
                      {{"call", call}, {"answer", std::string{to_string(reply.status)}}})
         .add();
-    log_event event(reply.status == reply_status::accepted ? log_level::info : log_level::warning,
-                    "call-answered");
-    event.field("call", call).field("job", id.get()).field("answer", to_string(reply.status));
+    const bool accepted = reply.status == reply_status::accepted;
+    if (!accepted && !rejections_.allow()) {
+        return;
+    }
+    log_event event(accepted ? log_level::info : log_level::warning, "call-answered");
+    event.field("call", call).field("answer", to_string(reply.status));
+    if (!id.get().empty()) {
+        event.field("job", id.get());
+    }
     if (!reply.reason.empty()) {
         event.field("reason", reply.reason);
     }
--- a/src/baobabrack/workload/job_frontend.hpp
+++ b/src/baobabrack/workload/job_frontend.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <string>
 
+#include "baobabrack/workload/bounded_log.hpp"
 #include "baobabrack/workload/job_access.hpp"
 #include "baobabrack/workload/scheduler_node.hpp"
 
@@ -91,6 +92,14 @@
 
     frontend_reply queue_state(const route& to);
 
+    /// Counts and logs a call that was rejected before it reached one of the functions above.
+    ///
+    /// @param call kind of the call, one of a fixed set of words
+    /// @param id   the job that the call names; empty if it names none
+    void record_rejection(const std::string& call, const job_id& id, const frontend_reply& reply) {
+        record_reply(call, id, reply);
+    }
+
     /// @return whether a load balancer should send callers to this scheduler
     bool ready() const;
 
@@ -111,6 +120,8 @@
     scheduler_node& node_;
     const config_source& config_;
     metrics_registry& metrics_;
+    bounded_log rejections_;
+    bounded_log foreign_calls_;
 };
 
 }  // namespace baobabrack::workload
