Cut times from records and reports that would overflow

Cause: times in stored records and in guards' reports are 64-bit milliseconds and were converted to signed microseconds unchecked, so that a large one became zero or negative, or overflowed when steps or occurrences were added up.

Change: spans are cut to a year and moments to the year 2100 where they are read. A stored job is not rejected because of such a time, as it was accepted.

--- a/src/baobabrack/workload/job_progress.cpp
+++ b/src/baobabrack/workload/job_progress.cpp
@@ -4,6 +4,7 @@
 #include <map>
 
 #include "baobabrack/workload.pb.h"
+#include "baobabrack/workload/record_times.hpp"
 
 namespace baobabrack::workload {
 
@@ -55,9 +56,9 @@
             .repeated_crashes = record.repeated_crashes(),
             .on_several_hosts = record.on_several_hosts(),
             .last_host = host_id{record.last_host()},
-            .last_run_time = milliseconds{record.last_run_time_ms()},
+            .last_run_time = span_from_record(record.last_run_time_ms()),
             .other_causes = record.other_causes(),
-            .trial = milliseconds{record.trial_ms()}};
+            .trial = span_from_record(record.trial_ms())};
 }
 
 void to_wire(const crash_record& crashes, wire::WorkloadCrashes& record) {
@@ -196,7 +197,7 @@
 job_progress from_wire(const job_spec& spec, const wire::WorkloadProgress& record) {
     job_progress progress;
     progress.phase = static_cast<job_phase>(record.state());
-    progress.ended = wall_time{milliseconds{record.ended_unix_ms()}};
+    progress.ended = wall_time_from_record(record.ended_unix_ms());
     progress.begun = record.begun();
     for (const auto& stored : record.occurrences()) {
         if (stored.done()) {
--- a/src/baobabrack/workload/job_spec.cpp
+++ b/src/baobabrack/workload/job_spec.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "baobabrack/workload.pb.h"
+#include "baobabrack/workload/record_times.hpp"
 
 namespace baobabrack::workload {
 
@@ -24,7 +25,7 @@
         .per_task = {.cpu = cpu_millicores{record.cpu_millicores()},
                      .memory = memory_mib{record.memory_mib()},
                      .accelerators = accelerator_count{record.accelerators()}},
-        .estimated = milliseconds{record.estimated_ms()},
+        .estimated = span_from_record(record.estimated_ms()),
         .after = {record.after().begin(), record.after().end()},
         .checkpoints = record.checkpoints(),
         .gang = record.gang(),
@@ -150,13 +151,13 @@
         .priority = record.priority(),
         .most_attempts = record.most_attempts(),
         .slack_factor = record.slack_factor(),
-        .target_completion = milliseconds{record.target_completion_ms()},
-        .submitted = wall_time{milliseconds{record.submitted_unix_ms()}},
+        .target_completion = span_from_record(record.target_completion_ms()),
+        .submitted = wall_time_from_record(record.submitted_unix_ms()),
         .payload = record.payload(),
         .steps = {},
         .occurrences = record.occurrences(),
-        .first_due = wall_time{milliseconds{record.first_due_unix_ms()}},
-        .interval = milliseconds{record.interval_ms()},
+        .first_due = wall_time_from_record(record.first_due_unix_ms()),
+        .interval = span_from_record(record.interval_ms()),
     };
     for (const auto& step : record.steps()) {
         spec.steps.push_back(from_wire(step));
--- a/src/baobabrack/workload/job_table.cpp
+++ b/src/baobabrack/workload/job_table.cpp
@@ -1,6 +1,7 @@
 #include "baobabrack/workload/job_table.hpp"
 
 #include "baobabrack/workload.pb.h"
+#include "baobabrack/workload/record_times.hpp"
 
 namespace baobabrack::workload {
 
@@ -98,7 +99,7 @@
     for (const auto& [id, value] : unmatched_progress_) {
         wire::WorkloadProgress record;
         const bool ended = parse(record, value) && record.ended_unix_ms() > 0;
-        if (ended && wall_time{std::chrono::milliseconds{record.ended_unix_ms()}} < time) {
+        if (ended && wall_time_from_record(record.ended_unix_ms()) < time) {
             found.push_back(id);
         }
     }
--- a/src/baobabrack/workload/report_codec.cpp
+++ b/src/baobabrack/workload/report_codec.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "baobabrack/workload.pb.h"
+#include "baobabrack/workload/record_times.hpp"
 
 namespace baobabrack::workload {
 
@@ -69,12 +70,11 @@
 
 replaced_worker replaced_from_wire(const wire::WorkloadReport& message) {
     const auto& previous = message.previous_worker();
-    replaced_worker replaced{
-        .instance = {.host = host_id{message.host()},
-                     .worker = worker_id{previous.worker()},
-                     .version = incarnation{previous.incarnation()}},
-        .lists_age = std::chrono::milliseconds{message.previous_lists_age_ms()},
-        .runs = {}};
+    replaced_worker replaced{.instance = {.host = host_id{message.host()},
+                                          .worker = worker_id{previous.worker()},
+                                          .version = incarnation{previous.incarnation()}},
+                             .lists_age = span_from_record(message.previous_lists_age_ms()),
+                             .runs = {}};
     for (const auto& run : message.previous_runs()) {
         replaced.runs.push_back(
             {.task = from_wire(run.task()), .run = run_number{run.run()}, .begun = run.begun()});
@@ -100,10 +100,10 @@
     worker_report report{.facts = from_wire(host_id{message.host()}, message.worker()),
                          .lists_known = message.lists_known(),
                          .lease_suspended = message.lease_suspended(),
-                         .lease_remaining = std::chrono::milliseconds{message.lease_left_ms()},
-                         .lists_age = std::chrono::milliseconds{message.lists_age_ms()},
+                         .lease_remaining = span_from_record(message.lease_left_ms()),
+                         .lists_age = span_from_record(message.lists_age_ms()),
                          .capacity_outdated = message.capacity_outdated(),
-                         .worker_age = std::chrono::milliseconds{message.worker_age_ms()},
+                         .worker_age = span_from_record(message.worker_age_ms()),
                          .runs = {},
                          .ends = {},
                          .refusals = {}};
