Do not report a queue as empty from an outdated table

Cause: Pending was answered from the job table whatever its age, so a scheduler that had lost the store went on to report a queue as empty. The caller takes 0 as final.

--- a/src/baobabrack/workload/job_frontend.cpp
+++ b/src/baobabrack/workload/job_frontend.cpp
@@ -322,6 +322,13 @@
 }
 
 frontend_reply job_frontend::queue_state(const route& to) {
+    if (!node_.is_up_to_date()) {
+        const frontend_reply reply{.status = reply_status::not_now,
+                                   .reason = "the stored jobs may be newer",
+                                   .retry_after = retry_delay()};
+        record_reply("queue", {}, reply);
+        return reply;
+    }
     return {.pending = node_.jobs().count_pending(to.queue->id)};
 }
 
--- a/tests/workload/job_frontend.tests.cpp
+++ b/tests/workload/job_frontend.tests.cpp
@@ -56,6 +56,19 @@
     CHECK_FALSE(frontend.ready());
 }
 
+// A scheduler that had lost the store went on to report a queue as empty.
+TEST_CASE("A queue is not reported as empty while the job table may be out of date", "[frontend]") {
+    simulated_cluster cluster(6, {});
+    cluster.run_for(2s);
+    metrics_registry metrics;
+    job_frontend frontend({}, cluster.loop, *cluster.scheduler(0), cluster.config, metrics);
+    const auto route = frontend.find_route(valid_request);
+    CHECK(frontend.queue_state(route).status == reply_status::accepted);
+    cluster.store_link(0).active_faults.silent = true;
+    cluster.run_for(6s);
+    CHECK(frontend.queue_state(route).status == reply_status::not_now);
+}
+
 TEST_CASE("The retry delay grows with the duration of a store outage", "[frontend]") {
     simulated_cluster cluster(4, {});
     cluster.run_for(2s);
