Account for lost work by cause in the scheduler's decisions

Cause: neither the metrics nor the log told how much work was lost, why, and what a checkpoint preserved; stops had a cause only as a text.

Change: stops have a typed cause with the same texts as before. Each end of a run is divided into lost and preserved run time (workload/lost_work), added up by cause and exported as baobabrack_lost_work_seconds_total. The lines of an end have the fields start_ms, cause, lost_ms and saved_ms. job-waiting has the cause of the wait (workload/wait_cause), and job-submitted tells dependencies, long-running steps and the times of occurrences. No line is added.

--- a/src/baobabrack/workload/job_frontend.cpp
+++ b/src/baobabrack/workload/job_frontend.cpp
@@ -15,6 +15,15 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
 }
 
+// Returns the steps that must be done before the step starts.
+std::string dependencies_text(const step_spec& step) {
+    std::string text;
+    for (const auto index : step.after) {
+        text += (text.empty() ? "" : "+") + std::to_string(index);
+    }
+    return " after:" + (text.empty() ? "none" : text);
+}
+
 // Logs the resources that the job requests, so that its waiting time can be explained later.
 void log_submission(const job_spec& spec) {
     std::string step_texts;
@@ -33,6 +42,10 @@
             step.required_label.get().empty() ? "" : " label:" + step.required_label.get();
         step_texts +=
             step.most_per_worker == 0 ? "" : " apart:" + std::to_string(step.most_per_worker);
+        step_texts += step.long_running ? " long_running" : "";
+        if (&step != &spec.steps.front()) {
+            step_texts += dependencies_text(step);
+        }
     }
     log_event(log_level::info, "job-submitted")
         .field("job", spec.id.get())
@@ -43,7 +56,9 @@
         .field("occurrences", spec.occurrences)
         .field("chain_ms", to_ms(critical_path_time(spec)))
         .field("completion_target_ms", to_ms(spec.target_completion))
-        .field("slack", spec.slack_factor);
+        .field("slack", spec.slack_factor)
+        .field("first_due_ms", to_ms(spec.first_due.time_since_epoch()))
+        .field("interval_ms", to_ms(spec.interval));
 }
 
 }  // namespace
--- a/src/baobabrack/workload/scheduler.cpp
+++ b/src/baobabrack/workload/scheduler.cpp
@@ -54,6 +54,7 @@
             ++counts_.lost;
             add_decision_event("run-lost", name, ref.task->run, place.host,
                                "a newer worker instance runs on the host");
+            account_run(ref, lost_work_cause::worker_crashed, now);
             note_lost_run(
                 ref,
                 {.task = name,
@@ -176,16 +177,33 @@
     ref.task->place = ref.task->phase == task_phase::waiting ? place : worker_instance{};
 }
 
-void scheduler::stop_run(const task_name& name, const task_ref& ref, const std::string& why) {
+void scheduler::stop_run(const task_name& name, const task_ref& ref, stop_cause cause,
+                         const std::string& detail) {
     if (ref.task->phase != task_phase::assigned || ref.state->stopping) {
         return;
     }
     ref.state->stopping = true;
+    ref.state->stopped_for = cause;
     ref.job->needs_update = true;
     capacity_changed_ = true;
     ++counts_.stopped;
     changed_hosts_.insert(ref.task->place.host);
-    add_decision_event("run-stopping", name, ref.task->run, ref.task->place.host, why);
+    add_decision_event("run-stopping", name, ref.task->run, ref.task->place.host,
+                       std::string{to_string(cause)} + detail);
+}
+
+// Divides the time of a run that has ended into lost and preserved work, and adds that to the last
+// decision event, which is that of the end.
+void scheduler::account_run(const task_ref& ref, std::optional<lost_work_cause> cause,
+                            time_point ended) {
+    const auto account = account_for({.assigned = ref.state->assigned_at,
+                                      .listed_since = ref.state->listed_since,
+                                      .checkpoint_at = ref.state->checkpoint_at,
+                                      .ended = ended,
+                                      .restored = ref.state->restored},
+                                     cause);
+    lost_work_.add(account, ref.step->per_task);
+    decision_events_.back().account = account;
 }
 
 progress_batch scheduler::drain_batch(bool with_checkpoints) {
@@ -268,7 +286,10 @@
                                 .task = task,
                                 .run = run,
                                 .host = host,
-                                .detail = std::move(detail)});
+                                .detail = std::move(detail),
+                                .account = std::nullopt,
+                                .waits_for = std::nullopt,
+                                .excluded_as = {}});
 }
 
 }  // namespace baobabrack::workload
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -6,17 +6,20 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "baobabrack/workload/borrowed_capacity.hpp"
 #include "baobabrack/workload/capacity_forecast.hpp"
 #include "baobabrack/workload/crash_record.hpp"
 #include "baobabrack/workload/job_table.hpp"
+#include "baobabrack/workload/lost_work.hpp"
 #include "baobabrack/workload/preemption.hpp"
 #include "baobabrack/workload/progress_batch.hpp"
 #include "baobabrack/workload/progress_rate.hpp"
 #include "baobabrack/workload/run_time_estimates.hpp"
 #include "baobabrack/workload/scheduler_counts.hpp"
+#include "baobabrack/workload/wait_cause.hpp"
 #include "baobabrack/workload/worker_orders.hpp"
 #include "baobabrack/workload/worker_report.hpp"
 #include "baobabrack/workload/worker_table.hpp"
@@ -95,6 +98,10 @@
 
     const worker_table& workers() const { return workers_; }
     const scheduler_counts& counts() const { return counts_; }
+
+    /// @return the work that was lost since the last call
+    lost_work_totals drain_lost_work() { return std::exchange(lost_work_, {}); }
+
     std::size_t open_jobs() const { return jobs_.size(); }
     std::size_t unread_jobs() const { return unread_jobs_.size(); }
 
@@ -105,6 +112,11 @@
         run_number run;
         host_id host;
         std::string detail;
+        /// What became of the time of a run that has ended.
+        std::optional<run_account> account;
+        /// What a waiting job waits for, and why most of the excluded workers are left out.
+        std::optional<wait_cause> waits_for;
+        std::string excluded_as;
     };
     std::vector<decision_event> drain_decision_events();
 
@@ -115,6 +127,8 @@
         /// The worker of the current run, or null if the task is not assigned.
         worker_state* worker = nullptr;
         bool stopping = false;
+        /// Why this leader has stopped the current run.
+        std::optional<stop_cause> stopped_for;
         /// An earlier leader has assigned the current run.
         bool restored = false;
         /// Whether the task has been moved from a slow worker before.
@@ -132,6 +146,8 @@
         /// not.
         time_point listed_since{};
         time_point listed_until{};
+        /// When the latest checkpoint of the current run was reported; zero if it has none.
+        time_point checkpoint_at{};
         /// Since when the trial of the task has been delayed; zero if it has not.
         time_point trial_delayed_since{};
         progress_rate measured_rate;
@@ -237,7 +253,9 @@
     void apply_end_of_earlier_run(const ended_run& end, const task_ref& ref);
     void apply_refusal(const refused_run& refusal, const worker_instance& place, time_point now);
     void apply_runs(const worker_report& report, time_point now);
-    void mark_runs_lost(const worker_instance& place, const std::string& why);
+    void mark_runs_lost(const worker_instance& place, lost_work_cause cause,
+                        const std::string& why);
+    void account_run(const task_ref& ref, std::optional<lost_work_cause> cause, time_point ended);
     resources used_by(const worker_instance& instance);
     std::vector<task_ref> runs_of_other_instances(const worker_instance& place);
     void handle_new_instance(worker_state& worker, const worker_report& report, time_point now);
@@ -259,7 +277,8 @@
     duration confirmed_run_time(const task_ref& ref) const;
     void requeue_task(const task_name& name, const task_ref& ref, const std::string& checkpoint);
     void requeue_lost_task(const task_name& name, const task_ref& ref);
-    void stop_run(const task_name& name, const task_ref& ref, const std::string& why);
+    void stop_run(const task_name& name, const task_ref& ref, stop_cause cause,
+                  const std::string& detail = {});
     void check_progress(const task_name& name, const reported_run& run, const task_ref& ref,
                         time_point now);
     duration stall_timeout(const task_ref& ref) const;
@@ -298,6 +317,8 @@
                         const std::map<service_id, placement_pass>& passes, time_point now);
     std::string waiting_reason(const waiting_group& waiting, const placement_pass& pass,
                                const service_id& service);
+    void explain_wait(const waiting_group& waiting, const placement_pass& pass,
+                      const service_id& service);
     bool placement_due(const workload_config& config, time_point now);
     guarantee_uses measure_guarantees(const workload_config& config) const;
     std::vector<waiting_group> collect_waiting_groups(const guarantee_uses& guarantees,
@@ -357,6 +378,7 @@
     config_version last_placement_config_;
     run_time_estimates run_times_;
     scheduler_counts counts_;
+    lost_work_totals lost_work_;
 };
 
 template <typename Action>
--- a/src/baobabrack/workload/scheduler_capacity.cpp
+++ b/src/baobabrack/workload/scheduler_capacity.cpp
@@ -207,11 +207,7 @@
         if (const auto ref = find(name)) {
             ++counts_.preempted;
             ++ref->state->preemption_count;
-            stop_run(
-                name, *ref,
-                chosen.borrowing
-                    ? "reclaimed by a guaranteed job; its workspace uses more than its guarantee"
-                    : "preempted by a job of priority 0");
+            stop_run(name, *ref, chosen.borrowing ? stop_cause::reclaimed : stop_cause::preempted);
         }
     }
 }
--- a/src/baobabrack/workload/scheduler_crashes.cpp
+++ b/src/baobabrack/workload/scheduler_crashes.cpp
@@ -149,7 +149,8 @@
     if (has_predecessor && !worker.facts.draining) {
         handle_worker_crash(worker, sign, now);
     }
-    mark_runs_lost(instance, "a newer worker instance runs on the host");
+    mark_runs_lost(instance, lost_work_cause::worker_crashed,
+                   "a newer worker instance runs on the host");
 }
 
 // A start that was sent to a worker's previous instance may have been carried out by the new one,
--- a/src/baobabrack/workload/scheduler_jobs.cpp
+++ b/src/baobabrack/workload/scheduler_jobs.cpp
@@ -150,7 +150,7 @@
     for_each_task(job, [&](const task_ref& ref) {
         if (ref.task->phase == task_phase::assigned) {
             stop_run(name_of(ref), ref,
-                     job.cancelled ? "the job was cancelled" : "the job has failed");
+                     job.cancelled ? stop_cause::job_cancelled : stop_cause::job_failed);
         }
     });
 }
@@ -168,7 +168,7 @@
         const auto is_stopping = [](const task_state& state) { return state.stopping; };
         if (std::any_of(ref.tasks->begin(), ref.tasks->end(), is_waiting) ||
             std::any_of(ref.states->begin(), ref.states->end(), is_stopping)) {
-            stop_run(name_of(ref), ref, "another run of the gang has ended");
+            stop_run(name_of(ref), ref, stop_cause::gang_ended);
         }
     });
 }
--- a/src/baobabrack/workload/scheduler_node.hpp
+++ b/src/baobabrack/workload/scheduler_node.hpp
@@ -143,6 +143,8 @@
     peer_pings pings_;
     intake_writer intake_writer_;
     std::unique_ptr<scheduler> scheduler_;
+    // Since the process has started, under all of its leads.
+    lost_work_totals lost_work_;
     guard_sessions sessions_;
     // Hosts whose guards have sent a report that has not been answered.
     std::set<host_id> replies_due_;
--- a/src/baobabrack/workload/scheduler_node_metrics.cpp
+++ b/src/baobabrack/workload/scheduler_node_metrics.cpp
@@ -5,6 +5,22 @@
 
 namespace baobabrack::workload {
 
+namespace {
+
+// The report of `baobabrackctl losses` reads these fields.
+void add_account(log_event& event, const run_account& account) {
+    if (account.start_delay) {
+        event.field("start_ms", to_ms(*account.start_delay));
+    }
+    if (account.cause) {
+        event.field("cause", to_string(*account.cause))
+            .field("lost_ms", to_ms(account.lost))
+            .field("saved_ms", to_ms(account.saved));
+    }
+}
+
+}  // namespace
+
 void scheduler_node::log_decisions() {
     for (const auto& decision : scheduler_->drain_decision_events()) {
         log_event event(log_level::info, decision.event);
@@ -20,6 +36,15 @@
         if (!decision.detail.empty()) {
             event.field("reason", decision.detail);
         }
+        if (decision.account) {
+            add_account(event, *decision.account);
+        }
+        if (decision.waits_for) {
+            event.field("waits_for", to_string(*decision.waits_for));
+        }
+        if (!decision.excluded_as.empty()) {
+            event.field("excluded_as", decision.excluded_as);
+        }
         event.field("term", term_.get());
         if (!leadership_confirmed()) {
             // Another scheduler may be the leader by now; then this decision is not stored.
@@ -29,6 +54,7 @@
             event.field("config_version", config->version.get());
         }
     }
+    lost_work_.add(scheduler_->drain_lost_work());
 }
 
 void scheduler_node::update_metrics() {
@@ -40,6 +66,12 @@
         .set(static_cast<double>(jobs_.jobs().size()));
     metrics.get_gauge("baobabrack_records_unreadable", "Stored records that could not be read")
         .set(static_cast<double>(jobs_.unreadable_records()));
+    for (const auto cause : lost_work_causes) {
+        auto& lost = metrics.get_counter("baobabrack_lost_work_seconds_total",
+                                         "Lost work by cause, in core-seconds",
+                                         {{"cause", std::string{to_string(cause)}}});
+        lost.add(static_cast<std::uint64_t>(lost_work_.core_seconds(cause)) - lost.value());
+    }
     if (!is_leader()) {
         return;
     }
--- a/src/baobabrack/workload/scheduler_placement.cpp
+++ b/src/baobabrack/workload/scheduler_placement.cpp
@@ -154,6 +154,7 @@
                       .crashes = ref->task->crashes};
         *ref->state = {.stored_run = ref->state->stored_run,
                        .stopping = false,
+                       .stopped_for = std::nullopt,
                        .restored = false,
                        .moved = ref->state->moved,
                        .preemption_count = ref->state->preemption_count,
@@ -163,6 +164,7 @@
                        .begun = false,
                        .listed_since = {},
                        .listed_until = {},
+                       .checkpoint_at = {},
                        .measured_rate = {}};
         ref->state->measured_rate.restart(pass.now);
         allocate_run(name, *ref);
--- a/src/baobabrack/workload/scheduler_progress.cpp
+++ b/src/baobabrack/workload/scheduler_progress.cpp
@@ -79,8 +79,8 @@
         }
     }
     ++ref.state->stall_count;
-    stop_run(name, ref,
-             "no progress at " + std::to_string(ref.state->measured_rate.percent()) + "%");
+    stop_run(name, ref, stop_cause::no_progress,
+             " at " + std::to_string(ref.state->measured_rate.percent()) + "%");
 }
 
 // Returns whether runs of other jobs on the worker have made progress recently.
@@ -227,7 +227,7 @@
     if (place(group, find_candidates(service_for(*ref.job, *ref.step), now), {})) {
         // Only once: if the run is slow again, its estimate is wrong.
         ref.state->moved = true;
-        stop_run(name, ref, "the worker is slow");
+        stop_run(name, ref, stop_cause::slow_worker);
     }
 }
 
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -96,6 +96,16 @@
     if (!current) {
         return;
     }
+    if (!end.checkpoint.empty() && ref->step->checkpoints &&
+        end.checkpoint != ref->task->checkpoint) {
+        ref->state->checkpoint_at = now;
+    }
+    // A long-running task is meant to run until its job is cancelled.
+    const bool complete =
+        ref->step->long_running && ref->state->stopped_for == stop_cause::job_cancelled;
+    account_run(*ref,
+                complete ? std::nullopt : lost_work_cause_of(end.outcome, ref->state->stopped_for),
+                now);
     auto& history = workers_.find_or_add(place.host).history;
     if (end.outcome == run_outcome::done) {
         ++counts_.done;
@@ -152,7 +162,7 @@
     } else {
         ++counts_.done;
         ref.task->done_earlier = true;
-        stop_run(end.task, ref, "an earlier run of the task has ended as done");
+        stop_run(end.task, ref, stop_cause::done_earlier);
     }
     ref.job->dirty = true;
     ref.job->needs_update = true;
@@ -169,6 +179,7 @@
     }
     ++counts_.refused;
     add_decision_event("start-refused", refusal.task, refusal.run, place.host, refusal.reason);
+    account_run(*ref, lost_work_cause::start_refused, now);
     if (refusal.reason == "unavailable" || refusal.reason == "unreachable" ||
         refusal.reason == "no_room") {
         workers_.find_or_add(place.host)
@@ -210,6 +221,7 @@
         if (!run.checkpoint.empty() && ref->step->checkpoints &&
             ref->task->checkpoint != run.checkpoint) {
             ref->task->checkpoint = run.checkpoint;
+            ref->state->checkpoint_at = now - report.lists_age;
             ref->job->checkpoints_dirty = true;
         }
         if (worker.responding && report.lists_age < max_list_age) {
@@ -266,12 +278,14 @@
 }
 
 // Marks the runs of all other instances of the host's worker as lost.
-void scheduler::mark_runs_lost(const worker_instance& place, const std::string& why) {
+void scheduler::mark_runs_lost(const worker_instance& place, lost_work_cause cause,
+                               const std::string& why) {
     for (const auto& ref : runs_of_other_instances(place)) {
         const auto name = name_of(ref);
         ++counts_.lost;
         add_decision_event("run-lost", name, ref.task->run, place.host,
                            why + "; the run was listed for " + to_ms_text(confirmed_run_time(ref)));
+        account_run(ref, cause, ref.state->listed_until);
         requeue_lost_task(name, ref);
     }
 }
@@ -300,7 +314,7 @@
                                      .starts_known = starts_known},
                                     now);
             }
-            mark_runs_lost(none, "the worker's lease expired");
+            mark_runs_lost(none, lost_work_cause::lease_expired, "the worker's lease expired");
         }
     }
 }
--- a/src/baobabrack/workload/scheduler_waiting.cpp
+++ b/src/baobabrack/workload/scheduler_waiting.cpp
@@ -73,6 +73,30 @@
         job.wait_reported_at = now;
         add_decision_event("job-waiting", {.step = {.job = job.spec.id}}, {}, {},
                            waiting_reason(waiting, pass->second, service));
+        explain_wait(waiting, pass->second, service);
+    }
+}
+
+// Adds the cause of the wait to the last decision event.
+void scheduler::explain_wait(const waiting_group& waiting, const placement_pass& pass,
+                             const service_id& service) {
+    candidates excluded;
+    std::map<std::string_view, unsigned> reasons;
+    for (const auto& [host, worker] : workers_.all()) {
+        const auto reason = exclusion_reason(worker, pass.now);
+        if (worker.facts.service == service && !reason.empty()) {
+            excluded.push_back(make_candidate(worker.facts, worker.used));
+            ++reasons[reason];
+        }
+    }
+    auto& event = decision_events_.back();
+    event.waits_for = find_wait_cause(waiting.group, pass.forecast.available(), excluded);
+    if (event.waits_for == wait_cause::excluded) {
+        event.excluded_as = std::max_element(reasons.begin(), reasons.end(),
+                                             [](const auto& left, const auto& right) {
+                                                 return left.second < right.second;
+                                             })
+                                ->first;
     }
 }
 
