Add baobabrackctl losses, a report of lost time and lost work

Change: ctl/losses_report analyses the merged logs of schedulers and guards: waiting time and lost work by cause, and jobs by queue and workspace. Logs of older schedulers are read as well; what they do not tell is counted and printed.

--- a/src/baobabrack/ctl/command.cpp
+++ b/src/baobabrack/ctl/command.cpp
@@ -4,6 +4,7 @@
 
 #include "baobabrack/ctl/job_commands.hpp"
 #include "baobabrack/ctl/list_commands.hpp"
+#include "baobabrack/ctl/losses_command.hpp"
 #include "baobabrack/ctl/request_commands.hpp"
 #include "baobabrack/ctl/ticket_commands.hpp"
 #include "baobabrack/ctl/why_command.hpp"
@@ -28,6 +29,7 @@
     groups.push_back(std::make_unique<job_commands>());
     groups.push_back(std::make_unique<list_commands>());
     groups.push_back(std::make_unique<why_command>());
+    groups.push_back(std::make_unique<losses_command>());
     return groups;
 }
 
--- a/src/baobabrack/ctl/exit_code.hpp
+++ b/src/baobabrack/ctl/exit_code.hpp
@@ -7,7 +7,7 @@
 enum class exit_code {
     ok = 0,
     /// The entry refused the request, the watched job failed or was cancelled, or `why` found no
-    /// event.
+    /// event, or `losses` no line of a leader.
     refused = 1,
     /// The command line or an input file is invalid.
     usage = 2,
