--- a/tests/ctl/losses_report.tests.cpp
+++ b/tests/ctl/losses_report.tests.cpp
@@ -266,6 +266,18 @@
     CHECK(lost_of(log.report(), lost_work_cause::lease_expired).run_seconds == Approx(0));
 }
 
+// Guards against a second step that seems not to be ready after the only run that was seen as done.
+TEST_CASE("A late end as done makes the next step ready", "[losses]") {
+    log_builder log;
+    log.submit(0, "1x1acc/0m/1MiB/1ms, 1x1acc/0m/1MiB/1ms");
+    log.assign(0, "j.0.0.0").assign(2, "j.0.0.0", 2);
+    log.end(3, "j.0.0.0", "done, not the current run");
+    log.assign(4, "j.0.1.0");
+    const auto report = log.report();
+    CHECK(report.missing.runs_without_ready_time == 0);
+    CHECK(wait_of(report, waiting_cause::not_reported) == Approx(3));
+}
+
 // Guards against decisions of two leaders around a change that count twice.
 TEST_CASE("A decision that two leaders have logged counts once", "[losses]") {
     log_builder log;
--- a/tests/workload/lost_work.tests.cpp
+++ b/tests/workload/lost_work.tests.cpp
@@ -139,6 +139,16 @@
         REQUIRE(accounts.size() == 1);
         CHECK(accounts.front().cause == lost_work_cause::cancelled);
     }
+    SECTION("cancelled, long-running") {
+        job.steps.front().long_running = true;
+        fixture.submit(job);
+        run_for(fixture, 1s);
+        fixture.subject.cancel_job(job.id);
+        run_for(fixture, 300ms);
+        const auto accounts = accounts_of(fixture, "run-ended");
+        REQUIRE(accounts.size() == 1);
+        CHECK(accounts.front().cause == std::nullopt);
+    }
     SECTION("failed, with a checkpoint") {
         job.steps.front().checkpoints = true;
         fixture.submit(job);
--- a/tests/workload/scheduler_node.tests.cpp
+++ b/tests/workload/scheduler_node.tests.cpp
@@ -46,6 +46,27 @@
     CHECK(cluster.violations.empty());
 }
 
+// Guards against lost work that is accounted for but not exported, or exported under another cause.
+TEST_CASE("Lost work is exported as a counter by cause", "[workload][lost-work]") {
+    simulated_cluster cluster(3, {.run_time = 20s});
+    cluster.run_for(2s);
+    const auto exported = [&](const std::string& cause) {
+        return cluster.metrics(cluster.leader_index())
+            .get_counter("baobabrack_lost_work_seconds_total", "", {{"cause", cause}})
+            .value();
+    };
+    REQUIRE(cluster.submit(job_of("j", 2, 4)));
+    cluster.run_for(3s);
+    CHECK(exported("cancelled") == 0);
+    REQUIRE(cluster.cancel("j"));
+    cluster.run_for(3s);
+    REQUIRE(cluster.phase("j") == workload::job_phase::cancelled);
+    // Two runs of 33 cores; how long they are listed depends on when the worker is asked.
+    CHECK(exported("cancelled") > 2 * 33 * 2);
+    CHECK(exported("cancelled") < 2 * 33 * 5);
+    CHECK(exported("preempted") == 0);
+}
+
 TEST_CASE("A cancelled job stops and does not start again", "[workload]") {
     simulated_cluster cluster(3, {.run_time = 20s});
     cluster.run_for(2s);
--- a/tests/workload/simulated_cluster.hpp
+++ b/tests/workload/simulated_cluster.hpp
@@ -81,6 +81,9 @@
     /// Delivers a late announcement of the worker's previous instance.
     void announce_previous_instance(unsigned index);
 
+    /// @return the metrics of a scheduler that is running
+    metrics_registry& metrics(unsigned index) { return *schedulers_[index].metrics; }
+
     workload::scheduler_node* scheduler(unsigned index) { return schedulers_[index].node.get(); }
     fakes::fake_store_link& store_link(unsigned index) { return *schedulers_[index].link; }
     fakes::fake_guarded_worker& worker(unsigned index) { return *hosts_[index].worker; }
