--- a/src/baobabrack/workload/scheduler_departures.cpp
+++ b/src/baobabrack/workload/scheduler_departures.cpp
@@ -26,7 +26,7 @@
                 now, *worker.departure, options_.max_stop_delay);
             if (due && *due <= now) {
                 ++counts_.departed;
-                stop_run(name, *ref, "the worker leaves before the run ends");
+                stop_run(name, *ref, stop_cause::worker_leaves);
             }
         }
     }
