Vary declared run times in the workload experiment

Cause: the experiment had one kind of error of declared times, and its output did not show what wrong estimates cost.

The output has the mean completion time, wasted core-seconds, and how many runs were stopped for slowness or a stall, also where nothing was wrong with their workers. The default draws the same traces as before.

--- a/bench/workload_experiment.cpp
+++ b/bench/workload_experiment.cpp
@@ -22,6 +22,10 @@
     double late = 0;
     double lost = 0;
     double preempted = 0;
+    double completion_s = 0;
+    double wasted = 0;
+    double stops = 0;
+    double wrong_stops = 0;
     double decision_s = 0;
     double longest_ms = 0;
     double worst = 1;
@@ -38,6 +42,10 @@
         late += one.late;
         lost += one.lost;
         preempted += static_cast<double>(result.preempted);
+        completion_s += one.completion_s;
+        wasted += result.wasted;
+        stops += static_cast<double>(result.fault_stops);
+        wrong_stops += static_cast<double>(result.wrong_stops);
         decision_s += result.decision_s;
         longest_ms = std::max(longest_ms, result.longest_decision_ms);
         worst = std::min(worst, one.worth);
@@ -63,6 +71,10 @@
                 {"late", late / count},
                 {"lost", lost / count},
                 {"preempted", preempted / count},
+                {"completion_s", completion_s / count},
+                {"wasted_core_s", wasted / count},
+                {"fault_stops", stops / count},
+                {"wrong_stops", wrong_stops / count},
                 {"overfull", overfull},
                 {"decision_s", decision_s / count},
                 {"longest_decision_ms", longest_ms}};
@@ -86,6 +98,8 @@
     command->add_option("--burst", day_.burst, "times the rate during a burst");
     command->add_option("--troubles", troubles_,
                         "all, none, or one of slow, crashed, failing, standing_still");
+    command->add_option("--declared", declared_,
+                        "declared run times: by_kind, right, production, wrong, mixed, drifting");
     command->add_flag("--verbose", verbose_, "one line for each seed");
     return command;
 }
@@ -110,6 +124,12 @@
         std::cerr << "there is no trouble " << troubles_ << "; see --help\n";
         return 1;
     }
+    const auto declared = find_declared_times(declared_);
+    if (!declared) {
+        std::cerr << "there are no declared times " << declared_ << "; see --help\n";
+        return 1;
+    }
+    day_.declared = *declared;
     totals all;
     for (std::uint64_t seed = seed_; seed < seed_ + seeds_; ++seed) {
         const auto trace = make_workload_trace(*deployment, day_, seed);
@@ -126,6 +146,7 @@
     out["deployment"] = deployment->name;
     out["seeds"] = seeds_;
     out["load"] = day_.load;
+    out["declared"] = declared_;
     std::cout << out.dump(2) << "\n";
     return all.overfull > 0 ? 1 : 0;
 }
--- a/bench/workload_experiment.hpp
+++ b/bench/workload_experiment.hpp
@@ -23,6 +23,7 @@
     std::uint32_t hosts_ = 0;
     workload_day day_;
     std::string troubles_ = "all";
+    std::string declared_ = "by_kind";
     bool verbose_ = false;
 };
 
--- a/bench/workload_measures.cpp
+++ b/bench/workload_measures.cpp
@@ -27,18 +27,27 @@
     return shares.size() < 2 ? 1 : (shares[0] + shares[1]) / 2;
 }
 
+time_point completed_at(const workload_trace& trace, const workload_result& result,
+                        std::size_t job) {
+    return result.completed[job].value_or(trace.end + after_time);
+}
+
 }  // namespace
 
 workload_measures measure(const workload_trace& trace, const workload_result& result) {
     workload_measures found;
     tally day;
     std::map<std::int64_t, tally> windows;
+    double jobs = 0;
     std::vector<tally> kinds(trace.deployment.kinds.size());
     for (std::size_t at = 0; at < trace.jobs.size(); ++at) {
         const auto& job = trace.jobs[at];
         if (job.cancelled) {
             continue;
         }
+        const auto until = completed_at(trace, result, at);
+        found.completion_s += std::chrono::duration<double>(until - job.submitted).count();
+        ++jobs;
         double earned = 0;
         const auto& completed = result.completed[at];
         if (completed && *completed <= job.objective) {
@@ -55,6 +64,7 @@
             one->earned += earned;
         }
     }
+    found.completion_s /= std::max(jobs, 1.0);
     found.whole_day = day.share();
     found.worst_windows = worst_two(windows);
     found.worst_kind = 1;
--- a/bench/workload_measures.hpp
+++ b/bench/workload_measures.hpp
@@ -10,6 +10,9 @@
 
 namespace baobabrack::bench {
 
+/// How long a trace is played on after its end, so that the last jobs may still end in time.
+constexpr duration after_time = std::chrono::seconds{40};
+
 /// What became of a trace.
 struct workload_result {
     /// By job, when it was complete.
@@ -18,6 +21,10 @@
     double wasted = 0;
     std::uint64_t runs = 0;
     std::uint64_t preempted = 0;
+    /// Runs that were stopped because their worker seemed slow or they seemed to stand still, and
+    /// those among them where nothing was wrong with any worker of the run.
+    std::uint64_t fault_stops = 0;
+    std::uint64_t wrong_stops = 0;
     std::uint64_t overfull = 0;
     /// Processor time of the decisions.
     double decision_s = 0;
@@ -35,6 +42,9 @@
     double waste_price = 0;
     /// Weighted as the users weigh it, less the price.
     double worth = 0;
+    /// Mean time from submission to completion; of jobs that do not complete, to the end of the
+    /// simulation.
+    double completion_s = 0;
     std::uint32_t late = 0;
     std::uint32_t lost = 0;
 };
--- a/bench/workload_simulation.cpp
+++ b/bench/workload_simulation.cpp
@@ -24,8 +24,6 @@
 constexpr duration beat_interval = 500ms;
 // Checkpoints alone are stored this often.
 constexpr duration proof_interval = 700ms;
-// After the last submission jobs may still end in time.
-constexpr duration after_time = 40s;
 // The workers are there before the first job.
 constexpr duration lead = 1s;
 constexpr double failing_time_s = 0.04;
@@ -270,9 +268,27 @@
         if (note.event == "job-completed") {
             result_.completed[job_numbers_.at(note.task.step.job)] = now_;
         }
+        if (note.event == "run-stopping" &&
+            (note.detail == "the worker is slow" || note.detail.starts_with("no progress"))) {
+            ++result_.fault_stops;
+            result_.wrong_stops += has_trouble(note.task) ? 0 : 1;
+        }
     }
 }
 
+// Returns whether something is wrong with the worker of a run or of another member of its gang.
+bool workload_simulation::has_trouble(const task_name& task) const {
+    const auto members = members_of(task);
+    return std::any_of(members.begin(), members.end(), [this](const task_name& member) {
+        const auto place = places_.find(member);
+        if (place == places_.end()) {
+            return true;
+        }
+        const auto& host = hosts_[place->second];
+        return host.stands_still || host.fails_all || host.slow_factor > 1;
+    });
+}
+
 void workload_simulation::carry_out(std::uint32_t host, const workload::worker_orders& orders) {
     auto& state = hosts_[host];
     if (state.down || orders.worker != state.facts.instance) {
--- a/bench/workload_simulation.hpp
+++ b/bench/workload_simulation.hpp
@@ -73,6 +73,7 @@
     workload::worker_report report_of(host_state& host);
     void decide();
     void take_notes();
+    bool has_trouble(const workload::task_name& task) const;
     void carry_out(std::uint32_t host, const workload::worker_orders& orders);
     void begin(std::uint32_t host, const workload::start_order& wanted);
     void stop(std::uint32_t host, const workload::task_name& task, workload::run_number run);
--- a/bench/workload_trace.cpp
+++ b/bench/workload_trace.cpp
@@ -127,8 +127,8 @@
         if (!job.spec.steps.empty()) {
             step.after.push_back(static_cast<std::uint32_t>(job.spec.steps.size()) - 1);
         }
-        const auto run_s = draw(rules.run_s);
-        const auto estimate = run_s * std::exp(rules.estimate_error * normal());
+        auto run_s = draw(rules.run_s);
+        const auto estimate = declare(run_s, job.submitted, rules);
         step.estimated = seconds(std::max(estimate, 0.05));
         std::vector<double> times;
         for (std::uint32_t task = 0; task < step.tasks; ++task) {
@@ -140,6 +140,38 @@
         job.spec.steps.push_back(std::move(step));
     }
 
+    // Returns the declared time of a step, and changes its true time where the day's rule says so.
+    double declare(double& run_s, time_point submitted, const workload_kind& rules) {
+        constexpr double most_off = 1.9;
+        constexpr double long_share = 0.03;
+        constexpr double long_factor = 7;
+        const auto day_share =
+            std::chrono::duration<double>(submitted.time_since_epoch()).count() / to_length();
+        if (day_.declared == declared_times::by_kind) {
+            return run_s * std::exp(rules.estimate_error * normal());
+        }
+        if (day_.declared == declared_times::right) {
+            return run_s;
+        }
+        if (day_.declared == declared_times::wrong) {
+            return run_s * std::exp(normal());
+        }
+        if (day_.declared == declared_times::mixed) {
+            constexpr double short_factor = 0.25;
+            constexpr double longer_factor = 2;
+            const bool longer = day_share > 1.0 / 3 && uniform() < 1.0 / 4;
+            run_s *= longer ? longer_factor : short_factor;
+        }
+        const auto declared = run_s * std::pow(most_off, 2 * uniform() - 1);
+        if (day_.declared == declared_times::drifting) {
+            constexpr double first_factor = 0.5;
+            constexpr double growth = 8;
+            run_s *= first_factor * std::pow(growth, day_share);
+        }
+        run_s *= uniform() < long_share ? long_factor : 1;
+        return declared;
+    }
+
     // Gangs take a sixth of the accelerators at most, and stay in one rack only where they take
     // half of it at most.
     void make_gang(workload::step_spec& step, const workload_kind& rules) {
@@ -240,6 +272,22 @@
     return std::nullopt;
 }
 
+std::optional<declared_times> find_declared_times(std::string_view name) {
+    constexpr std::array<std::pair<std::string_view, declared_times>, 6> names{
+        {{"by_kind", declared_times::by_kind},
+         {"right", declared_times::right},
+         {"production", declared_times::production},
+         {"wrong", declared_times::wrong},
+         {"mixed", declared_times::mixed},
+         {"drifting", declared_times::drifting}}};
+    for (const auto& [known, what] : names) {
+        if (known == name) {
+            return what;
+        }
+    }
+    return std::nullopt;
+}
+
 workload_trace make_workload_trace(const workload_deployment& deployment, const workload_day& day,
                                    std::uint64_t seed) {
     return trace_maker(deployment, day, seed).make();
--- a/bench/workload_trace.hpp
+++ b/bench/workload_trace.hpp
@@ -49,12 +49,32 @@
     time_point end{};
 };
 
+/// How declared run times relate to the true ones.
+enum class declared_times {
+    /// Off by the log-normal error of the job's kind.
+    by_kind,
+    right,
+    /// Off by a factor of up to 1.9 either way; 3% of the steps take 7 times as long.
+    production,
+    /// Unrelated to the run time: log-normal errors by a factor of e.
+    wrong,
+    /// As `production`, with short steps alone in the first third of the day and some eight times
+    /// longer ones beside them later.
+    mixed,
+    /// As `production`, with true times that grow from half to four times the declared ones.
+    drifting,
+};
+
+/// @return the kind of declared times of this name, or nothing
+std::optional<declared_times> find_declared_times(std::string_view name);
+
 /// How hard a day is.
 struct workload_day {
     /// Times the usual rate of jobs.
     double load = 1;
     /// Times the urgent rate for some seconds.
     double burst = 2;
+    declared_times declared = declared_times::by_kind;
     /// What may be wrong with workers.
     std::vector<workload_trouble::kind> troubles{
         workload_trouble::kind::slow, workload_trouble::kind::crashed,
