Start a long-running task again when its run ends as done

Cause: an end as done made the task done and its step complete, without regard to long_running, both for the current run and for one that was taken for lost. The job was then shown as completed although nobody had cancelled it.

Change: such an end puts the task back into the queue like any other, and a long-running step is never done. The late end of an earlier run already left long-running tasks alone.

--- a/src/baobabrack/workload/job_progress.cpp
+++ b/src/baobabrack/workload/job_progress.cpp
@@ -167,6 +167,10 @@
 }
 
 bool is_step_done(const step_spec& step, const std::vector<task_progress>& tasks) {
+    // Such a step runs until its job is cancelled, however its runs end.
+    if (step.long_running) {
+        return false;
+    }
     const auto is_done = [](const task_progress& task) { return task.phase == task_phase::done; };
     return step.gang ? std::any_of(tasks.begin(), tasks.end(), is_done)
                      : std::all_of(tasks.begin(), tasks.end(), is_done);
@@ -212,6 +216,10 @@
                 std::min<std::size_t>(target.size(), static_cast<std::size_t>(tasks.size()));
             for (std::size_t index = 0; index < count; ++index) {
                 target[index] = from_wire(record, tasks[static_cast<int>(index)]);
+                const bool lasts = spec.steps[step].long_running;
+                if (lasts && target[index].phase == task_phase::done) {
+                    target[index].phase = task_phase::waiting;
+                }
             }
         }
         progress.occurrences.push_back(std::move(occurrence));
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -100,6 +100,10 @@
     if (end.outcome == run_outcome::done) {
         ++counts_.done;
         history.record_success();
+        if (ref->step->long_running) {
+            requeue_task(end.task, *ref, end.checkpoint);
+            return;
+        }
         record_run_time(*ref, now);
         release_run(end.task, *ref);
         ref->task->phase = task_phase::done;
@@ -119,11 +123,12 @@
     requeue_task(end.task, *ref, end.checkpoint);
 }
 
-// The end tells more than the loss: the task may be done, or has used up an attempt.
+// The end tells more than the loss: the task may be done, or has used up an attempt. A long-running
+// task is never done.
 void scheduler::apply_end_of_lost_run(const ended_run& end, const task_ref& ref) {
     if (end.outcome == run_outcome::done) {
         ++counts_.done;
-        ref.task->phase = task_phase::done;
+        ref.task->phase = ref.step->long_running ? task_phase::waiting : task_phase::done;
     } else if (end.outcome == run_outcome::failed) {
         ++counts_.failed;
         count_failure(*ref.step, *ref.tasks, *ref.task, end.run);
