Clamp estimates out of range, and reject those that are no numbers by name

Cause: an estimate of 2^63 ms, stored or submitted, overflowed when it was converted to microseconds. One of 0 passed unnoticed, and a negative one was rejected without the name of its field.

The platform omits fields that are 0, so an absent estimate must be served as before.

--- a/src/baobabrack/workload/job_spec.cpp
+++ b/src/baobabrack/workload/job_spec.cpp
@@ -24,7 +24,7 @@
         .per_task = {.cpu = cpu_millicores{record.cpu_millicores()},
                      .memory = memory_mib{record.memory_mib()},
                      .accelerators = accelerator_count{record.accelerators()}},
-        .estimated = milliseconds{record.estimated_ms()},
+        .estimated = clamp_estimate(record.estimated_ms()),
         .after = {record.after().begin(), record.after().end()},
         .checkpoints = record.checkpoints(),
         .gang = record.gang(),
@@ -60,6 +60,11 @@
 
 }  // namespace
 
+duration clamp_estimate(std::uint64_t estimate_ms) {
+    const auto most = static_cast<std::uint64_t>(duration_cast<milliseconds>(max_estimate).count());
+    return std::max<duration>(milliseconds{std::min(estimate_ms, most)}, min_estimate);
+}
+
 result<void> validate(const job_spec& spec) {
     if (spec.id.get().empty()) {
         return invalid("the job has no id", "name the job in the path");
--- a/src/baobabrack/workload/job_spec.hpp
+++ b/src/baobabrack/workload/job_spec.hpp
@@ -16,6 +16,15 @@
 
 namespace baobabrack::workload {
 
+/// Range of the estimated run time of a task. The lower limit stands for an estimate that was not
+/// given, and says nothing about the run time.
+constexpr duration min_estimate = std::chrono::milliseconds{1};
+constexpr duration max_estimate = std::chrono::hours{24};
+
+/// @param estimate_ms in milliseconds
+/// @return the estimate within the limits above
+duration clamp_estimate(std::uint64_t estimate_ms);
+
 /// Tasks with the same requirements that become ready together.
 struct step_spec {
     std::uint32_t tasks = 1;
--- a/tests/adapter/decoders.tests.cpp
+++ b/tests/adapter/decoders.tests.cpp
@@ -168,6 +168,37 @@
     CHECK_FALSE(platform::is_job_id("5c0e7a21d94b36fg"));
 }
 
+// An estimate of 2^63 ms overflowed when it was converted to microseconds, and one of 0 put a job
+// of unknown length before all others.
+TEST_CASE("An estimate out of range is clamped or rejected with the field's name", "[adapter]") {
+    const job_id id{"5c0e7a21d94b36f8"};
+    const auto decode = [&](const std::string& estimate) {
+        return platform::decode_job(
+            id, R"({"Steps":[{"Count":1},{"Count":1,"EstimatedMs":)" + estimate + "}]}");
+    };
+    const auto estimate_of = [&](const std::string& estimate) {
+        const auto job = decode(estimate);
+        REQUIRE(job);
+        return job.value().steps[1].estimated;
+    };
+    CHECK(estimate_of("1") == 1ms);
+    CHECK(estimate_of("900") == 900ms);
+    CHECK(estimate_of("86400000") == 24h);
+    CHECK(estimate_of("0") == 1ms);
+    CHECK(estimate_of("0.4") == 1ms);
+    CHECK(estimate_of("null") == 1ms);
+    CHECK(estimate_of("86400001") == 24h);
+    CHECK(estimate_of("9000000000000000") == 24h);
+    CHECK(estimate_of("9223372036854775808") == 24h);
+    CHECK(estimate_of("1e300") == 24h);
+    for (const auto* const estimate : {"-1", "-0.5", "-9223372036854775808", "\"900\"", "true"}) {
+        const auto rejected = decode(estimate);
+        REQUIRE_FALSE(rejected);
+        CHECK(rejected.error().message ==
+              "EstimatedMs of step 1 is not a number from 0 to 86400000");
+    }
+}
+
 TEST_CASE("An announcement is decoded, and malformed ones are rejected", "[adapter]") {
     const std::string valid =
         R"({"Service":"s","Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":2,"Gpu":3},)"
