Do not extrapolate run-time estimates beyond their data

Cause: one line was fitted to all runs of a queue, with a prior slope of 0. Where all declared times were nearly equal the slope stayed at 0, and a run declared at 60 s was expected to take 100 ms like those before it. Its worker counted as slow, and the run was stopped after 4 s.

--- a/src/baobabrack/workload/job_progress.hpp
+++ b/src/baobabrack/workload/job_progress.hpp
@@ -77,7 +77,8 @@
 /// @return how many attempts of the step have failed: of the gang, or of the task with the most
 std::uint32_t failed_attempts(const step_spec& step, const std::vector<task_progress>& tasks);
 
-/// @return whether the step needs no further runs; a gang is done when one of its tasks is done, and
+/// @return whether the step needs no further runs; a gang is done when one of its tasks is done,
+/// and
 ///         a long-running step never is
 bool is_step_done(const step_spec& step, const std::vector<task_progress>& tasks);
 
@@ -98,7 +99,8 @@
 
 std::string_view to_string(progress_detail detail);
 
-/// @return progress with the steps and tasks of the job; tasks missing in the record are waiting, as
+/// @return progress with the steps and tasks of the job; tasks missing in the record are waiting,
+/// as
 ///         are long-running tasks that earlier versions stored as done
 job_progress from_wire(const job_spec& spec, const wire::WorkloadProgress& record);
 wire::WorkloadProgress to_wire(const job_progress& progress,
--- a/tests/workload/run_time_estimates.tests.cpp
+++ b/tests/workload/run_time_estimates.tests.cpp
@@ -80,3 +80,72 @@
     const auto [given, corrected] = errors_after({.error = 0.2}, 20);
     CHECK(corrected < given * 1.15);
 }
+
+// A run declared at 60 s was expected to take 100 ms like all runs before it. Its worker counted as
+// slow, and the run was stopped after 4 s.
+TEST_CASE("A declared time far from all earlier ones is not corrected to theirs",
+          "[run_time_estimates]") {
+    run_time_estimates estimates;
+    for (int run = 0; run < 20; ++run) {
+        estimates.add(queue, run % 2 == 0 ? 100ms : 105ms, run % 3 == 0 ? 90ms : 110ms);
+    }
+    CHECK(estimates.expected(queue, 60s) > 40s);
+    CHECK(estimates.expected(queue, 60s) < 90s);
+    CHECK_FALSE(estimates.upper_bound(queue, 60s));
+    CHECK_FALSE(estimates.upper_bound(queue, 10ms));
+    REQUIRE(estimates.upper_bound(queue, 100ms));
+    CHECK(*estimates.upper_bound(queue, 100ms) < 250ms);
+}
+
+// The other side: where declared times say nothing, a run is expected to take as long as others,
+// within the range of the declared times seen and not beyond it.
+TEST_CASE("Only data replaces a declared time", "[run_time_estimates]") {
+    run_time_estimates estimates;
+    for (int run = 0; run < 30; ++run) {
+        estimates.add(queue, run % 2 == 0 ? 1s : 16s, run % 3 == 0 ? 3600ms : 4400ms);
+    }
+    CHECK(estimates.expected(queue, 1s) > 2s);
+    CHECK(estimates.expected(queue, 16s) < 8s);
+    // Beyond a margin of 1.9 around the range, expected times are in proportion to declared ones.
+    CHECK(estimates.expected(queue, 160s) > estimates.expected(queue, 16s) * 5);
+    CHECK(estimates.expected(queue, 320s) > estimates.expected(queue, 32s) * 9);
+    CHECK(estimates.expected(queue, 50ms) * 9 < estimates.expected(queue, 500ms));
+}
+
+// The sums went back to the first run, so that a change showed only after as many runs again.
+TEST_CASE("Run times that change are followed", "[run_time_estimates]") {
+    run_time_estimates estimates;
+    for (int run = 0; run < 500; ++run) {
+        estimates.add(queue, 2s, 2s);
+    }
+    for (int run = 0; run < 40; ++run) {
+        estimates.add(queue, 2s, 8s);
+    }
+    CHECK(estimates.expected(queue, 2s) > 7s);
+}
+
+// One wide step can end more runs at once than the window of its declared time has.
+TEST_CASE("A wide step does not displace what is known of other declared times",
+          "[run_time_estimates]") {
+    run_time_estimates estimates;
+    for (int run = 0; run < 10; ++run) {
+        estimates.add(queue, 10s, 12s);
+    }
+    for (int run = 0; run < 500; ++run) {
+        estimates.add(queue, 1s, 3s);
+    }
+    CHECK(estimates.expected(queue, 10s) > 10s);
+    CHECK(estimates.expected(queue, 10s) < 15s);
+    CHECK(estimates.upper_bound(queue, 10s));
+}
+
+// Declared times are off by a factor of up to 1.9 either way, so a few equal run times do not show
+// that the next one is equal too.
+TEST_CASE("Few equal run times give a wide bound", "[run_time_estimates]") {
+    run_time_estimates estimates;
+    for (int run = 0; run < 6; ++run) {
+        estimates.add(queue, 1s, 1s);
+    }
+    REQUIRE(estimates.upper_bound(queue, 1s));
+    CHECK(*estimates.upper_bound(queue, 1s) > 1700ms);
+}
