Tell a long or slow run from a stalled one by its own pauses and by other runs

Cause: progress is a whole per cent, which a long run with a short declared time shows late. The time until a run counted as stalled grew with each stalled run only before the first measured progress, so a run whose progress slowed down was stopped again and again. A run of over 50 s on a worker seven times slower counted as stalled, and the first progress was expected by a corrected time that may be far too short.

Change: a run that has gone on after a pause is given twice that pause; one at a measured rate the time for 8% in place of 4%. Before the first progress, the larger of the corrected and the declared time counts, and a run is given twice as long if its worker makes progress with other jobs or a run of its step on another worker shows none either. All times double with each stalled run of the task.

The case of progress_rate.tests.cpp tests a new function.

--- a/src/baobabrack/workload/progress_rate.cpp
+++ b/src/baobabrack/workload/progress_rate.cpp
@@ -23,6 +23,9 @@
         return;
     }
     sampled_at_ = at;
+    if (percent > percent_ && changed_at_ != time_point{}) {
+        longest_pause_ = std::max(longest_pause_, at - changed_at_);
+    }
     if (percent != percent_ || changed_at_ == time_point{}) {
         changed_at_ = at;
     }
--- a/src/baobabrack/workload/progress_rate.hpp
+++ b/src/baobabrack/workload/progress_rate.hpp
@@ -22,6 +22,9 @@
     /// @return when the percentage last changed or the measurement was restarted
     time_point unchanged_since() const { return changed_at_; }
 
+    /// @return the longest time without a change that ended with progress; zero before the first
+    duration longest_pause() const { return longest_pause_; }
+
     /// Restarts the window and the time without change, after a time in which the run was not
     /// observed.
     void restart(time_point at);
@@ -42,6 +45,7 @@
     std::uint32_t percent_ = 0;
     time_point sampled_at_{};
     time_point changed_at_{};
+    duration longest_pause_{};
     // Start of the current window.
     std::uint32_t window_percent_ = 0;
     time_point window_start_{};
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -263,7 +263,8 @@
     void check_progress(const task_name& name, const reported_run& run, const task_ref& ref,
                         time_point now);
     duration stall_timeout(const task_ref& ref) const;
-    static duration first_progress_timeout(const step_spec& step);
+    static duration first_progress_timeout(const task_ref& ref);
+    bool may_be_long(const task_ref& ref, duration timeout, time_point now);
     void handle_stalled_run(const task_name& name, const task_ref& ref, time_point now);
     bool other_jobs_progress(const worker_state& worker, const job_id& job, time_point now);
     double expected_rate(const task_ref& ref) const;
--- a/src/baobabrack/workload/scheduler_progress.cpp
+++ b/src/baobabrack/workload/scheduler_progress.cpp
@@ -10,9 +10,15 @@
 namespace {
 
 // A run has stalled if its percentage does not change for `stall_base` plus the time that it needs
-// for `stall_percent` percent at its fastest rate.
+// for `stall_percent` percent at its fastest rate. Slow workers are up to seven times slower, so
+// that a run there shows a percent within the time for eight.
 constexpr duration stall_base = std::chrono::milliseconds{1500};
-constexpr double stall_percent = 4;
+constexpr double stall_percent = 8;
+// ... and for longer than this many times the longest pause after which the run went on.
+constexpr int pause_factor = 2;
+// Where other runs suggest that the run is long rather than stalled, it is given this many times as
+// long to its first progress.
+constexpr int benefit_of_doubt = 2;
 // Additional time before the first progress: for starting a task, for a gang until all its runs
 // have started, and in both cases a share of the estimated run time.
 constexpr duration start_allowance = std::chrono::milliseconds{700};
@@ -54,9 +60,29 @@
         measured.restart(now);
         return;
     }
-    if (now - measured.unchanged_since() > stall_timeout(ref)) {
-        handle_stalled_run(name, ref, now);
+    const auto unchanged = now - measured.unchanged_since();
+    const auto timeout = stall_timeout(ref);
+    if (unchanged <= timeout ||
+        (unchanged <= timeout * benefit_of_doubt && may_be_long(ref, timeout, now))) {
+        return;
+    }
+    handle_stalled_run(name, ref, now);
+}
+
+// Returns whether a run without measured progress is more likely long than stalled: its worker
+// makes progress with other jobs, or a run of its step on another worker shows no progress either.
+// Says nothing about gangs, whose members wait for each other.
+bool scheduler::may_be_long(const task_ref& ref, duration timeout, time_point now) {
+    if (ref.step->gang || ref.state->measured_rate.has_measurement()) {
+        return false;
     }
+    const bool sibling_waits =
+        std::any_of(ref.states->begin(), ref.states->end(), [&](const task_state& state) {
+            return state.worker != nullptr && state.worker != ref.state->worker &&
+                   !state.stopping && !state.measured_rate.has_measurement() &&
+                   now - state.measured_rate.unchanged_since() > timeout / 2;
+        });
+    return sibling_waits || other_jobs_progress(*ref.state->worker, ref.job->spec.id, now);
 }
 
 // A stalled member of a gang blocks all others, so a worker is suspected only if no run of another
@@ -98,25 +124,30 @@
     return false;
 }
 
-// A run whose estimate is far too low shows its first progress late. It looks stalled on every
-// worker, so each further run of the task gets more time.
+// A run whose estimate is far too low shows its first progress late, and one whose progress slows
+// down seems to stall. Both look so on every worker, so each further run of the task gets more
+// time.
 duration scheduler::stall_timeout(const task_ref& ref) const {
     const auto& measured = ref.state->measured_rate;
-    if (measured.has_measurement()) {
-        return stall_base + from_seconds(stall_percent / measured.fastest());
-    }
     auto stalls = ref.state->stall_count;
     if (ref.step->gang) {
         for (const auto& state : *ref.states) {
             stalls = std::max(stalls, state.stall_count);
         }
     }
-    return first_progress_timeout(*ref.step) * (1U << std::min(stalls, max_stall_doublings));
+    const auto base = measured.has_measurement()
+                          ? stall_base + from_seconds(stall_percent / measured.fastest())
+                          : first_progress_timeout(ref);
+    return std::max(base, measured.longest_pause() * pause_factor) *
+           (1U << std::min(stalls, max_stall_doublings));
 }
 
-duration scheduler::first_progress_timeout(const step_spec& step) {
+// Based on the declared run time too, in case it has been corrected too far downwards.
+duration scheduler::first_progress_timeout(const task_ref& ref) {
+    const auto& step = *ref.step;
+    const auto run_time = std::max(step.estimated, ref.job->declared_run_times[ref.step_number]);
     return stall_base + (step.gang ? gang_start_allowance : start_allowance) +
-           from_seconds(to_seconds(step.estimated) * start_share);
+           from_seconds(to_seconds(run_time) * start_share);
 }
 
 // Returns the expected rate in percent per second at the run's current host, or zero if unknown.
--- a/tests/workload/progress_rate.tests.cpp
+++ b/tests/workload/progress_rate.tests.cpp
@@ -61,3 +61,21 @@
     rate.add_sample(50, now + 10s);
     CHECK(rate.current() == Approx(20));
 }
+
+// A run that had gone on after a long pause was stopped during the next pause of that length.
+TEST_CASE("The longest pause that ended with progress is known", "[progress_rate]") {
+    progress_rate rate;
+    const time_point start{100s};
+    rate.restart(start);
+    CHECK(rate.longest_pause() == duration::zero());
+    rate.add_sample(0, start + 8s);
+    CHECK(rate.longest_pause() == duration::zero());
+    rate.add_sample(1, start + 9s);
+    rate.add_sample(2, start + 12s);
+    rate.add_sample(2, start + 60s);
+    CHECK(rate.longest_pause() == 9s);
+    // A time in which the run was not observed is no pause.
+    rate.restart(start + 100s);
+    rate.add_sample(3, start + 101s);
+    CHECK(rate.longest_pause() == 9s);
+}
