Test what clients that do not read their responses cost a scheduler

Cause: clients pipelined requests and did not read the responses, and a process ran out of memory. No test covered this. Change: test_untrusted_clients starts a scheduler and the stand-in of its store on loopback.

--- /dev/null
+++ b/tests/untrusted_clients/crowd.cpp
@@ -0,0 +1,101 @@
+#include "untrusted_clients/crowd.hpp"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+
+#include <array>
+#include <cerrno>
+#include <chrono>
+
+namespace baobabrack::testing {
+
+namespace {
+
+using steady = std::chrono::steady_clock;
+
+int connect_to(const http_endpoint& to) {
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(to.port);
+    inet_pton(AF_INET, to.host.c_str(), &address.sin_addr);
+    const timeval timeout{.tv_sec = 10, .tv_usec = 0};
+    setsockopt(descriptor, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof timeout);
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+    connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    return descriptor;
+}
+
+}  // namespace
+
+int request_status(const http_endpoint& to, const std::string& request) {
+    const file_descriptor socket{connect_to(to)};
+    ::send(socket.get(), request.data(), request.size(), MSG_NOSIGNAL);
+    std::array<char, 64> head{};
+    const auto count = recv(socket.get(), head.data(), head.size() - 1, 0);
+    const std::string text{head.data(), count > 0 ? static_cast<std::size_t>(count) : 0};
+    return text.starts_with("HTTP/1.1 ") ? std::stoi(text.substr(9, 3)) : 0;
+}
+
+struct crowd::client {
+    explicit client(const http_endpoint& to) : socket(connect_to(to)) {
+        fcntl(socket.get(), F_SETFL, O_NONBLOCK);
+    }
+
+    file_descriptor socket;
+    std::size_t sent = 0;
+    bool closed = false;
+};
+
+crowd::crowd(http_endpoint to, options opts) : to_(std::move(to)), options_(opts) {
+    for (std::size_t i = 0; i < options_.connections; ++i) {
+        clients_.push_back(std::make_unique<client>(to_));
+    }
+}
+
+crowd::~crowd() = default;
+
+void crowd::send(const std::string& text, const std::function<void()>& sample) {
+    // A large block needs fewer system calls; the remainder of a partial send continues the text.
+    std::string block;
+    while (block.size() < (1UL << 16U)) {
+        block += text;
+    }
+    const auto deadline = steady::now() + std::chrono::milliseconds{options_.max_ms};
+    auto last_progress = steady::now();
+    auto last_sample = steady::now();
+    while (steady::now() < deadline && steady::now() - last_progress < std::chrono::seconds{2}) {
+        std::vector<pollfd> waiting;
+        for (auto& from : clients_) {
+            if (from->closed && options_.reconnect) {
+                from = std::make_unique<client>(to_);
+            }
+            const auto offset = from->sent % block.size();
+            const auto count = from->closed || from->sent >= options_.max_bytes
+                                   ? 0
+                                   : ::send(from->socket.get(), block.data() + offset,
+                                            block.size() - offset, MSG_NOSIGNAL | MSG_DONTWAIT);
+            if (count > 0) {
+                from->sent += static_cast<std::size_t>(count);
+                last_progress = steady::now();
+            } else if (count < 0 && errno != EAGAIN) {
+                from->closed = true;
+            }
+            if (!from->closed && from->sent < options_.max_bytes) {
+                waiting.push_back({.fd = from->socket.get(), .events = POLLOUT, .revents = 0});
+            }
+        }
+        poll(waiting.data(), waiting.size(), 50);
+        if (steady::now() - last_sample > std::chrono::milliseconds{50}) {
+            last_sample = steady::now();
+            sample();
+        }
+    }
+    sample();
+}
+
+}  // namespace baobabrack::testing
