Bound what an HTTP server holds for clients that do not read

Cause: while a response is unsent, evhttp keeps reading (it looks for the end of file only) into the input buffer of the bufferevent, which had no limit. Change: http_server_connection sets a read limit. It reads 16 KiB ahead; a request above this takes bytes from a budget that client addresses share. A response has 30 s to leave the process. Requests in progress and connections have limits too; at the limit of connections the longest idle one of the address with the most is closed. The kernel's socket buffers are 32 KiB (as requested; the kernel doubles this).

--- a/src/baobabrack/transport/http_server.cpp
+++ b/src/baobabrack/transport/http_server.cpp
@@ -1,7 +1,6 @@
 #include "baobabrack/transport/http_server.hpp"
 
 #include <arpa/inet.h>
-#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/listener.h>
@@ -22,6 +21,14 @@
 
 constexpr duration sweep_interval = std::chrono::milliseconds{200};
 constexpr int status_internal_error = 500;
+constexpr int status_service_unavailable = 503;
+// While connections are used up, only those idle for this long are closed.
+constexpr duration min_idle_time = std::chrono::seconds{1};
+// The drain closes connections whose response has not been read for this long.
+constexpr duration drain_send_timeout = std::chrono::seconds{1};
+// Fraction of the connections that a sweep closes at most, so that a sweep frees more of them than
+// the kernel queues (128).
+constexpr std::size_t closed_fraction = 8;
 
 std::uint16_t bound_port(int descriptor) {
     sockaddr_storage address{};
@@ -43,45 +50,20 @@
 }
 
 // Accepted connections inherit these options on Linux.
-void set_listen_options(int descriptor) {
+void set_listen_options(int descriptor, int buffer_bytes) {
     const int on = 1;
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    // The kernel otherwise enlarges them up to several MiB, which count as memory of the process.
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof buffer_bytes);
+    setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &buffer_bytes, sizeof buffer_bytes);
 }
 
 }  // namespace
 
-// A connection managed by evhttp. The reference keeps the bufferevent alive after evhttp has closed
-// the connection, until a sweep finds it without callbacks.
-struct http_server::connection {
-    connection(http_server& owner, bufferevent* raw) : server(owner), stream(raw) {
-        bufferevent_incref(stream);
-        evbuffer_add_cb(bufferevent_get_input(stream), &http_server::handle_input, this);
-    }
-    connection(const connection&) = delete;
-    connection& operator=(const connection&) = delete;
-    ~connection() { bufferevent_decref(stream); }
-
-    bool is_closed() const {
-        void* owner = nullptr;
-        bufferevent_getcb(stream, nullptr, nullptr, nullptr, &owner);
-        return owner == nullptr;
-    }
-
-    bool is_sending() const { return evbuffer_get_length(bufferevent_get_output(stream)) > 0; }
-
-    // evhttp then reads end-of-file and frees the connection.
-    void shut_down() const { shutdown(bufferevent_getfd(stream), SHUT_RDWR); }
-
-    http_server& server;
-    bufferevent* stream;
-    bool receiving = false;
-    bool responding = false;
-    time_point receiving_since{};
-};
-
 struct http_responder::exchange {
-    exchange(http_server& owner, evhttp_request* raw) : server(&owner), request(raw) {}
+    exchange(http_server& owner, evhttp_request* raw, std::string from)
+        : server(&owner), request(raw), address(std::move(from)) {}
     exchange(const exchange&) = delete;
     exchange& operator=(const exchange&) = delete;
     ~exchange() { respond({.status = status_internal_error, .headers = {}, .body = {}}); }
@@ -92,10 +74,13 @@
     void detach() {
         request = nullptr;
         server->exchanges_.erase(this);
+        server->options_.limits->requests().release(address, 1);
     }
 
     http_server* server;
     evhttp_request* request;
+    // Holds one request of the budget.
+    std::string address;
 };
 
 void http_responder::exchange::respond(const http_response& response) {
@@ -105,7 +90,7 @@
     auto* raw = request;
     const bool close_connection = !server->accepting_connections_;
     if (auto* from = server->find_connection(raw)) {
-        from->responding = false;
+        from->begin_sending(response.body.size());
     }
     detach();
     evhttp_connection_set_closecb(evhttp_request_get_connection(raw), nullptr, nullptr);
@@ -126,6 +111,9 @@
       handler_(handler),
       http_(evhttp_new(loop.base())),
       sweep_timer_(loop) {
+    if (options_.limits == nullptr) {
+        options_.limits = std::make_shared<client_limits>(client_limits::options{});
+    }
     const auto timeout = to_timeval(options_.idle_timeout);
     evhttp_set_timeout_tv(http_.get(), &timeout);
     evhttp_set_max_body_size(http_.get(), static_cast<ev_ssize_t>(options_.max_body_bytes));
@@ -156,7 +144,7 @@
                                  " (choose an address of this host and a free port)");
     }
     const auto descriptor = evhttp_bound_socket_get_fd(bound_socket_);
-    set_listen_options(descriptor);
+    set_listen_options(descriptor, options_.socket_buffer_bytes);
     port_ = bound_port(descriptor);
 }
 
@@ -170,21 +158,21 @@
 }
 
 void http_server::close_idle() {
+    const auto oldest = loop_.now() - drain_send_timeout;
     for (const auto& [stream, client] : connections_) {
-        if (!client->receiving && !client->responding) {
+        const bool is_unread =
+            client->current_phase() == connection::phase::sending && client->phase_began() < oldest;
+        if (client->is_idle() || is_unread) {
             client->shut_down();
         }
     }
 }
 
 bool http_server::is_idle() const {
-    const auto connection_is_idle = [](const auto& entry) {
-        const auto& client = *entry.second;
-        return client.is_closed() ||
-               (!client.receiving && !client.responding && !client.is_sending());
-    };
     return exchanges_.empty() &&
-           std::all_of(connections_.begin(), connections_.end(), connection_is_idle);
+           std::all_of(connections_.begin(), connections_.end(), [](const auto& entry) {
+               return entry.second->is_closed() || entry.second->is_idle();
+           });
 }
 
 void http_server::set_accepting(bool enabled) {
@@ -205,19 +193,50 @@
     std::erase_if(connections_, [](const auto& entry) { return entry.second->is_closed(); });
 }
 
+bool http_server::is_full() const {
+    return connections_.size() >= options_.max_connections ||
+           !options_.limits->accepts_connection();
+}
+
 void http_server::sweep() {
     erase_closed_connections();
-    const auto oldest = loop_.now() - options_.receive_timeout;
     for (const auto& [stream, client] : connections_) {
-        if (client->receiving && client->receiving_since < oldest) {
-            client->shut_down();
+        if (client->close_if_late()) {
             ++counts_.receive_timeouts;
         }
     }
-    set_accepting(connections_.size() < options_.max_connections);
+    if (is_full()) {
+        close_longest_idle();
+    }
+    set_accepting(!is_full());
     sweep_timer_.arm(sweep_interval, [this] { sweep(); });
 }
 
+// Closes connections without a request: first those of the address with the most connections, and
+// of these the longest idle first.
+void http_server::close_longest_idle() {
+    std::unordered_map<std::string, std::size_t> by_address;
+    std::vector<connection*> idle;
+    const auto oldest = loop_.now() - min_idle_time;
+    for (const auto& [stream, client] : connections_) {
+        ++by_address[client->address()];
+        if (client->is_idle() && client->phase_began() < oldest) {
+            idle.push_back(client.get());
+        }
+    }
+    std::sort(idle.begin(), idle.end(), [&](connection* left, connection* right) {
+        const auto left_count = by_address[left->address()];
+        const auto right_count = by_address[right->address()];
+        return left_count != right_count ? left_count > right_count
+                                         : left->phase_began() < right->phase_began();
+    });
+    idle.resize(std::min(idle.size(), connections_.size() / closed_fraction + 1));
+    for (auto* client : idle) {
+        options_.limits->record(limit_cause::connections, client->address(), loop_.now());
+        client->shut_down();
+    }
+}
+
 http_server::connection* http_server::find_connection(evhttp_request* request) {
     auto* stream = evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
     const auto found = connections_.find(stream);
@@ -236,32 +255,37 @@
     if (server.connections_.size() + 1 >= server.options_.max_connections) {
         server.erase_closed_connections();
     }
-    server.connections_.insert_or_assign(stream, std::make_unique<connection>(server, stream));
-    if (server.connections_.size() >= server.options_.max_connections) {
+    const connection::options opts{.read_ahead = server.options_.read_ahead,
+                                   .receive_timeout = server.options_.receive_timeout,
+                                   .send_timeout = server.options_.send_timeout};
+    server.connections_.insert_or_assign(
+        stream, std::make_unique<connection>(server.loop_, opts, *server.options_.limits, stream));
+    if (server.is_full()) {
         server.set_accepting(false);
     }
     return stream;
 }
 
-void http_server::handle_input(evbuffer* /*input*/, const evbuffer_cb_info* change, void* self) {
-    auto& from = *static_cast<connection*>(self);
-    if (change->n_added > 0 && !from.receiving) {
-        from.receiving = true;
-        from.receiving_since = from.server.loop_.now();
-    }
-}
-
 void http_server::handle_request(evhttp_request* request, void* self) {
     auto& server = *static_cast<http_server*>(self);
     ++server.counts_.requests;
+    std::string address;
     if (auto* from = server.find_connection(request)) {
-        from->receiving = false;
-        from->responding = true;
+        from->begin_handling();
+        address = from->address();
     }
-    auto shared = std::make_shared<http_responder::exchange>(server, request);
+    auto& limits = *server.options_.limits;
+    const bool admitted = limits.requests().take(address, 1);
+    auto shared =
+        std::make_shared<http_responder::exchange>(server, request, admitted ? address : "");
     server.exchanges_.insert(shared.get());
     evhttp_connection_set_closecb(evhttp_request_get_connection(request), &handle_close,
                                   shared.get());
+    if (!admitted) {
+        limits.record(limit_cause::requests, address, server.loop_.now());
+        shared->respond({.status = status_service_unavailable, .headers = {{"Retry-After", "1"}}});
+        return;
+    }
     server.handler_.handle(read_request(request), http_responder{std::move(shared)});
 }
 
--- a/src/baobabrack/transport/http_server.hpp
+++ b/src/baobabrack/transport/http_server.hpp
@@ -9,12 +9,12 @@
 #include <unordered_set>
 
 #include "baobabrack/runtime/scoped_timer.hpp"
+#include "baobabrack/transport/client_limits.hpp"
 #include "baobabrack/transport/event_handles.hpp"
+#include "baobabrack/transport/http_server_connection.hpp"
 #include "baobabrack/transport/http_types.hpp"
 
 struct bufferevent;
-struct evbuffer;
-struct evbuffer_cb_info;
 struct evhttp_bound_socket;
 struct evhttp_request;
 
@@ -70,6 +70,14 @@
         duration receive_timeout = std::chrono::seconds{30};
         /// While this many connections are open, no more are accepted.
         std::size_t max_connections = 4096;
+        /// Bytes that each connection may always hold unprocessed.
+        std::size_t read_ahead = 16UL << 10U;
+        /// Longest time from a response to its last byte leaving the process.
+        duration send_timeout = std::chrono::seconds{30};
+        /// Requested size of each connection's send and receive buffers in the kernel.
+        int socket_buffer_bytes = 32 << 10;
+        /// Shared by the servers of a process; null: limits of this server alone.
+        std::shared_ptr<client_limits> limits;
     };
 
     /// Counts of requests, closed slow connections and accept pauses.
@@ -106,16 +114,20 @@
 
     const counts& totals() const { return counts_; }
 
+    /// @return the limits that this server and others share
+    const client_limits& limits() const { return *options_.limits; }
+
 private:
     friend class http_responder;
-    struct connection;
+    using connection = http_server_connection;
 
     static bufferevent* handle_accept(event_base* base, void* self);
     static void handle_request(evhttp_request* request, void* self);
     static void handle_close(evhttp_connection* closed, void* exchange);
-    static void handle_input(evbuffer* input, const evbuffer_cb_info* change, void* self);
     void bind();
     void set_accepting(bool enabled);
+    bool is_full() const;
+    void close_longest_idle();
     void erase_closed_connections();
     void sweep();
     connection* find_connection(evhttp_request* request);
--- /dev/null
+++ b/src/baobabrack/transport/http_server_connection.cpp
@@ -0,0 +1,218 @@
+#include "baobabrack/transport/http_server_connection.hpp"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <array>
+
+namespace baobabrack {
+
+namespace {
+
+// Larger steps hold more than a body needs; smaller ones only cost calls.
+constexpr std::size_t grant_bytes = 64UL << 10U;
+// evhttp parses what it has received in the current or the next turn of the loop. A request that is
+// still incomplete after that needs more than it may hold.
+constexpr int parse_turns = 2;
+
+std::string peer_address(int descriptor) {
+    sockaddr_storage address{};
+    socklen_t size = sizeof address;
+    // The socket API passes addresses of all families as sockaddr.
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
+    if (getpeername(descriptor, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+        return "unknown";
+    }
+    std::array<char, INET6_ADDRSTRLEN> text{};
+    // NOLINTBEGIN(cppcoreguidelines-pro-type-reinterpret-cast)
+    const void* number =
+        address.ss_family == AF_INET6
+            ? static_cast<const void*>(&reinterpret_cast<const sockaddr_in6&>(address).sin6_addr)
+            : &reinterpret_cast<const sockaddr_in&>(address).sin_addr;
+    // NOLINTEND(cppcoreguidelines-pro-type-reinterpret-cast)
+    inet_ntop(address.ss_family, number, text.data(), text.size());
+    return text.data();
+}
+
+}  // namespace
+
+http_server_connection::http_server_connection(runtime& loop, options opts, client_limits& limits,
+                                               bufferevent* stream)
+    : loop_(loop),
+      options_(opts),
+      limits_(limits),
+      stream_(stream),
+      phase_began_(loop.now()),
+      grant_timer_(loop) {
+    bufferevent_incref(stream_);
+    evbuffer_add_cb(bufferevent_get_input(stream_), &handle_input, this);
+    evbuffer_add_cb(bufferevent_get_output(stream_), &handle_output, this);
+    set_read_limit(options_.read_ahead);
+    limits_.add_connection();
+}
+
+http_server_connection::~http_server_connection() {
+    release();
+    limits_.remove_connection();
+    // The bufferevent can outlive this object.
+    evbuffer_remove_cb(bufferevent_get_input(stream_), &handle_input, this);
+    evbuffer_remove_cb(bufferevent_get_output(stream_), &handle_output, this);
+    bufferevent_decref(stream_);
+}
+
+bool http_server_connection::is_closed() const {
+    void* owner = nullptr;
+    bufferevent_getcb(stream_, nullptr, nullptr, nullptr, &owner);
+    return owner == nullptr;
+}
+
+bool http_server_connection::is_sending() const {
+    return evbuffer_get_length(bufferevent_get_output(stream_)) > 0;
+}
+
+std::size_t http_server_connection::input_bytes() const {
+    return evbuffer_get_length(bufferevent_get_input(stream_));
+}
+
+const std::string& http_server_connection::address() {
+    if (address_.empty()) {
+        address_ = peer_address(bufferevent_getfd(stream_));
+    }
+    return address_;
+}
+
+void http_server_connection::enter(phase next) {
+    phase_ = next;
+    phase_began_ = loop_.now();
+}
+
+void http_server_connection::set_read_limit(std::size_t bytes) {
+    if (!shut_down_) {
+        bufferevent_setwatermark(stream_, EV_READ, 0, bytes);
+    }
+}
+
+void http_server_connection::begin_handling() {
+    enter(phase::handling);
+    set_read_limit(options_.read_ahead);
+}
+
+void http_server_connection::begin_sending(std::size_t body_bytes) {
+    enter(phase::sending);
+    if (body_bytes > options_.read_ahead && !hold(body_bytes)) {
+        limit(limit_cause::bytes);
+    }
+}
+
+void http_server_connection::shut_down() {
+    if (shut_down_) {
+        return;
+    }
+    // evhttp frees the connection when it reads the end of file, which a read limit would delay.
+    set_read_limit(0);
+    shut_down_ = true;
+    shutdown(bufferevent_getfd(stream_), SHUT_RDWR);
+}
+
+void http_server_connection::limit(limit_cause cause) {
+    if (!shut_down_) {
+        limits_.record(cause, address(), loop_.now());
+        shut_down();
+    }
+}
+
+// Reading stops at the limit, and then evhttp does not see that the client has disconnected.
+bool http_server_connection::peer_is_gone() const {
+    pollfd state{.fd = bufferevent_getfd(stream_), .events = POLLRDHUP, .revents = 0};
+    return poll(&state, 1, 0) > 0;
+}
+
+bool http_server_connection::close_if_late() {
+    const auto age = loop_.now() - phase_began_;
+    if (phase_ == phase::receiving && age > options_.receive_timeout) {
+        limit(limit_cause::slow_request);
+        return true;
+    }
+    if (phase_ == phase::sending && age > options_.send_timeout) {
+        limit(limit_cause::unread_response);
+    } else if (phase_ == phase::sending && input_bytes() >= options_.read_ahead && peer_is_gone()) {
+        shut_down();
+    }
+    return false;
+}
+
+void http_server_connection::handle_input(evbuffer* /*input*/, const evbuffer_cb_info* change,
+                                          void* self) {
+    auto& from = *static_cast<http_server_connection*>(self);
+    if (change->n_added == 0) {
+        return;
+    }
+    if (from.phase_ == phase::idle) {
+        from.received_ = 0;
+        from.enter(phase::receiving);
+    }
+    if (from.phase_ == phase::receiving) {
+        from.received_ += change->n_added;
+        from.check_grant(parse_turns);
+    }
+}
+
+bool http_server_connection::needs_more() const {
+    const auto limit = options_.read_ahead + held_;
+    return phase_ == phase::receiving && !shut_down_ &&
+           (input_bytes() >= limit || received_ >= limit);
+}
+
+// evhttp needs a complete body in its buffers, so the read limit rises with the request.
+void http_server_connection::check_grant(int turns) {
+    if (!needs_more()) {
+        return;
+    }
+    if (turns > 0) {
+        grant_timer_.arm(duration::zero(), [this, turns] { check_grant(turns - 1); });
+        return;
+    }
+    if (!hold(grant_bytes)) {
+        limit(limit_cause::bytes);
+        return;
+    }
+    set_read_limit(options_.read_ahead + held_);
+}
+
+void http_server_connection::handle_output(evbuffer* output, const evbuffer_cb_info* change,
+                                           void* self) {
+    auto& from = *static_cast<http_server_connection*>(self);
+    if (change->n_deleted > 0 && evbuffer_get_length(output) == 0 &&
+        from.phase_ == phase::sending) {
+        from.finish_response();
+    }
+}
+
+void http_server_connection::finish_response() {
+    release();
+    received_ = 0;
+    enter(input_bytes() > 0 ? phase::receiving : phase::idle);
+    check_grant(parse_turns);
+}
+
+bool http_server_connection::hold(std::size_t bytes) {
+    if (!limits_.bytes().take(address(), bytes)) {
+        return false;
+    }
+    held_ += bytes;
+    return true;
+}
+
+void http_server_connection::release() {
+    if (held_ > 0) {
+        limits_.bytes().release(address_, held_);
+        held_ = 0;
+    }
+}
+
+}  // namespace baobabrack
--- a/tests/untrusted_clients/unread_responses.tests.cpp
+++ b/tests/untrusted_clients/unread_responses.tests.cpp
@@ -39,12 +39,12 @@
 
 // Guards against an input buffer that grows while a response is unsent.
 TEST_CASE("pipelined requests without a route whose responses are not read are bounded",
-          "[known-red]") {
+          "[unread]") {
     scheduler_process scheduler;
     check_load(scheduler, "GET /nothing HTTP/1.1\r\nHost: nowhere.example\r\n\r\n");
 }
 
-TEST_CASE("pipelined status requests whose responses are not read are bounded", "[known-red]") {
+TEST_CASE("pipelined status requests whose responses are not read are bounded", "[unread]") {
     scheduler_process scheduler;
     check_load(scheduler, status_request);
 }
