Configure and expose the limits for HTTP clients

Cause: the limits for clients were constants of one server, and no metric showed who reached them. Readiness checks do not count as requests in progress.

--- a/src/baobabrack/daemon/entry_program.cpp
+++ b/src/baobabrack/daemon/entry_program.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "baobabrack/daemon/client_settings.hpp"
 #include "baobabrack/daemon/process_identity.hpp"
 #include "baobabrack/entry/entry_api.hpp"
 #include "baobabrack/entry/entry_metrics.hpp"
@@ -67,6 +68,7 @@
         : settings_(settings),
           version_(new_incarnation()),
           loop_(new_seed()),
+          limits_(create_client_limits(settings.clients(), metrics_)),
           log_client_(loop_, {}),
           worker_client_(loop_, {}),
           target_client_(loop_, {}),
@@ -87,7 +89,9 @@
                                                    .network = network_,
                                                    .metrics = metrics_}),
           api_(node_, loop_, metrics_, entry().administration()),
-          server_(loop_, server_options(entry().http()), api_) {}
+          server_(loop_,
+                  with_client_settings(server_options(entry().http()), settings.clients(), limits_),
+                  api_) {}
 
     int run() {
         loop_.on_signal(SIGTERM, [this] { begin_drain(); });
@@ -186,6 +190,7 @@
     incarnation version_;
     event_runtime loop_;
     metrics_registry metrics_;
+    std::shared_ptr<client_limits> limits_;
     http_client log_client_;
     http_client worker_client_;
     http_client target_client_;
--- a/src/baobabrack/daemon/scheduler_program.cpp
+++ b/src/baobabrack/daemon/scheduler_program.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "baobabrack/daemon/addresses.hpp"
+#include "baobabrack/daemon/client_settings.hpp"
 #include "baobabrack/daemon/metrics_handler.hpp"
 #include "baobabrack/daemon/process_identity.hpp"
 #include "baobabrack/observe/json_log.hpp"
@@ -92,7 +93,9 @@
 public:
     explicit scheduler_program(const wire::Settings& settings)
         : settings_(settings.scheduler()),
+          client_settings_(settings.clients()),
           loop_(new_seed()),
+          limits_(create_client_limits(client_settings_, metrics_)),
           client_(loop_, {.connect_timeout = 700ms, .acknowledge_timeout = 1500ms}),
           store_(client_, to_endpoint(settings_.store()), limits_of(settings_), metrics_),
           config_(loop_, store_),
@@ -105,11 +108,11 @@
           frontend_({.max_key_age = key_limit()}, loop_, node_, config_, metrics_),
           callers_(frontend_),
           readiness_([this] { return ready(); }),
-          metrics_handler_(metrics_),
-          callers_server_(loop_, server_at(settings_.listen(), connection_limit()), callers_),
-          readiness_server_(loop_, server_at(settings_.readiness(), 64), readiness_),
-          announcements_server_(loop_, server_at(settings_.announcements(), 64), unavailable_),
-          metrics_server_(loop_, server_at(settings_.metrics(), 16), metrics_handler_) {}
+          metrics_handler_(metrics_, *limits_),
+          callers_server_(loop_, options_of(settings_.listen(), connection_limit()), callers_),
+          readiness_server_(loop_, readiness_options(), readiness_),
+          announcements_server_(loop_, options_of(settings_.announcements(), 64), unavailable_),
+          metrics_server_(loop_, options_of(settings_.metrics(), 16), metrics_handler_) {}
 
     int run() {
         loop_.on_signal(SIGTERM, [this] { begin_drain(); });
@@ -127,6 +130,16 @@
     }
 
 private:
+    http_server::options options_of(const std::string& address, std::uint32_t connections) const {
+        return with_client_settings(server_at(address, connections), client_settings_, limits_);
+    }
+
+    http_server::options readiness_options() const {
+        auto options = options_of(settings_.readiness(), 64);
+        options.counts_requests = false;
+        return options;
+    }
+
     std::uint32_t connection_limit() const {
         return settings_.most_connections() > 0 ? settings_.most_connections()
                                                 : default_connection_limit;
@@ -176,8 +189,10 @@
     }
 
     wire::SchedulerSettings settings_;
+    wire::ClientSettings client_settings_;
     event_runtime loop_;
     metrics_registry metrics_;
+    std::shared_ptr<client_limits> limits_;
     http_client client_;
     platform::store_client store_;
     platform::config_follower config_;
--- a/src/baobabrack/daemon/worker_guard_program.cpp
+++ b/src/baobabrack/daemon/worker_guard_program.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 
 #include "baobabrack/daemon/addresses.hpp"
+#include "baobabrack/daemon/client_settings.hpp"
 #include "baobabrack/daemon/metrics_handler.hpp"
 #include "baobabrack/daemon/process_identity.hpp"
 #include "baobabrack/observe/json_log.hpp"
@@ -38,6 +39,7 @@
         : settings_(settings.worker_guard()),
           file_(std::move(file)),
           loop_(new_seed()),
+          limits_(create_client_limits(settings.clients(), metrics_)),
           client_(loop_, {.max_connections_per_host = 32,
                           .connect_timeout = 500ms,
                           .acknowledge_timeout = 1500ms}),
@@ -53,9 +55,15 @@
                       settings_.bounds().contact_timeout_ms())}},
                  loop_, network_, worker_, metrics_),
           announcements_(guard_, workload::host_id{settings.id()}),
-          metrics_handler_(metrics_),
-          announcements_server_(loop_, server_at(settings_.announcements()), announcements_),
-          metrics_server_(loop_, server_at(settings_.metrics()), metrics_handler_) {}
+          metrics_handler_(metrics_, *limits_),
+          announcements_server_(loop_,
+                                with_client_settings(server_at(settings_.announcements()),
+                                                     settings.clients(), limits_),
+                                announcements_),
+          metrics_server_(
+              loop_,
+              with_client_settings(server_at(settings_.metrics()), settings.clients(), limits_),
+              metrics_handler_) {}
 
     int run() {
         // The worker keeps running; the next guard finds its runs in the worker's lists.
@@ -93,6 +101,7 @@
     std::string file_;
     event_runtime loop_;
     metrics_registry metrics_;
+    std::shared_ptr<client_limits> limits_;
     http_client client_;
     platform::worker_client worker_;
     zmq_network network_;
--- a/src/baobabrack/settings/settings.cpp
+++ b/src/baobabrack/settings/settings.cpp
@@ -21,6 +21,13 @@
 constexpr std::uint32_t default_slots = 8;
 constexpr std::uint32_t default_connections = 64;
 
+constexpr std::uint64_t default_client_bytes = 16UL << 20U;
+constexpr std::uint32_t default_client_requests = 1'024;
+constexpr std::uint32_t default_address_share_percent = 50;
+constexpr std::uint32_t default_read_ahead_bytes = 16U << 10U;
+constexpr std::uint32_t default_client_timeout_ms = 30'000;
+constexpr std::uint32_t default_socket_buffer_bytes = 32U << 10U;
+
 std::uint32_t or_default(std::uint32_t value, std::uint32_t fallback) {
     return value == 0 ? fallback : value;
 }
@@ -32,6 +39,22 @@
     http.set_max_connections(or_default(http.max_connections(), default_max_connections));
 }
 
+// `max_connections` stays 0, as its default depends on the limit of open descriptors.
+void fill_clients(wire::ClientSettings& clients) {
+    if (clients.max_bytes() == 0) {
+        clients.set_max_bytes(default_client_bytes);
+    }
+    clients.set_max_requests(or_default(clients.max_requests(), default_client_requests));
+    clients.set_address_share_percent(
+        or_default(clients.address_share_percent(), default_address_share_percent));
+    clients.set_read_ahead_bytes(or_default(clients.read_ahead_bytes(), default_read_ahead_bytes));
+    clients.set_receive_timeout_ms(
+        or_default(clients.receive_timeout_ms(), default_client_timeout_ms));
+    clients.set_send_timeout_ms(or_default(clients.send_timeout_ms(), default_client_timeout_ms));
+    clients.set_socket_buffer_bytes(
+        or_default(clients.socket_buffer_bytes(), default_socket_buffer_bytes));
+}
+
 void fill_log(wire::LogSettings& log) {
     log.set_append_timeout_ms(or_default(log.append_timeout_ms(), default_append_timeout_ms));
     log.set_batch_interval_ms(or_default(log.batch_interval_ms(), default_batch_interval_ms));
@@ -85,6 +108,9 @@
     if (settings.log_level().empty()) {
         settings.set_log_level("info");
     }
+    if (!settings.has_guard()) {
+        fill_clients(*settings.mutable_clients());
+    }
     if (settings.has_entry()) {
         fill_entry(*settings.mutable_entry());
     }
--- a/src/baobabrack/settings/settings_check.cpp
+++ b/src/baobabrack/settings/settings_check.cpp
@@ -144,6 +144,38 @@
     }
 }
 
+void check_range(problems& found, const std::string& path, std::uint64_t value, std::uint64_t least,
+                 std::uint64_t most, const std::string& unit) {
+    if (value < least || value > most) {
+        found.push_back({path,
+                         "expected " + std::to_string(least) + " to " + std::to_string(most) + " " +
+                             unit + ", got " + std::to_string(value),
+                         "choose a value in this range, or leave the key out"});
+    }
+}
+
+void check_clients(problems& found, const wire::ClientSettings& clients) {
+    constexpr std::uint64_t max_bytes = 1UL << 30U;
+    constexpr std::uint64_t max_timeout_ms = 600'000;
+    constexpr std::uint64_t max_buffer_bytes = 1UL << 20U;
+    // The largest request head (16 KiB) must fit into what a connection may always hold.
+    constexpr std::uint64_t min_read_ahead = 16UL << 10U;
+    check_range(found, "clients.max_bytes", clients.max_bytes(), 1UL << 20U, max_bytes, "bytes");
+    check_range(found, "clients.max_requests", clients.max_requests(), 2, 1'000'000, "requests");
+    check_range(found, "clients.max_connections", clients.max_connections(), 0, 1'000'000,
+                "connections");
+    check_range(found, "clients.address_share_percent", clients.address_share_percent(), 1, 100,
+                "per cent");
+    check_range(found, "clients.read_ahead_bytes", clients.read_ahead_bytes(), min_read_ahead,
+                max_buffer_bytes, "bytes");
+    check_range(found, "clients.receive_timeout_ms", clients.receive_timeout_ms(), 1'000,
+                max_timeout_ms, "ms");
+    check_range(found, "clients.send_timeout_ms", clients.send_timeout_ms(), 1'000, max_timeout_ms,
+                "ms");
+    check_range(found, "clients.socket_buffer_bytes", clients.socket_buffer_bytes(), 4'096,
+                max_buffer_bytes, "bytes");
+}
+
 void check_location(problems& found, const wire::Location& location) {
     check_text(found, "location.region", location.region(), "the region this process runs in");
     check_text(found, "location.data_centre", location.data_centre(),
@@ -165,6 +197,9 @@
     check_text(found, "id", settings.id(), "an id unique among all processes");
     check_location(found, settings.location());
     check_log_level(found, settings.log_level());
+    if (!settings.has_guard()) {
+        check_clients(found, settings.clients());
+    }
     switch (settings.role_case()) {
         case wire::Settings::kEntry:
             check_entry(found, settings);
--- a/src/baobabrack/transport/http_server.cpp
+++ b/src/baobabrack/transport/http_server.cpp
@@ -275,9 +275,10 @@
         address = from->address();
     }
     auto& limits = *server.options_.limits;
-    const bool admitted = limits.requests().take(address, 1);
-    auto shared =
-        std::make_shared<http_responder::exchange>(server, request, admitted ? address : "");
+    const bool counted = server.options_.counts_requests;
+    const bool admitted = !counted || limits.requests().take(address, 1);
+    auto shared = std::make_shared<http_responder::exchange>(server, request,
+                                                             counted && admitted ? address : "");
     server.exchanges_.insert(shared.get());
     evhttp_connection_set_closecb(evhttp_request_get_connection(request), &handle_close,
                                   shared.get());
--- a/src/baobabrack/transport/http_server.hpp
+++ b/src/baobabrack/transport/http_server.hpp
@@ -78,6 +78,9 @@
         int socket_buffer_bytes = 32 << 10;
         /// Shared by the servers of a process; null: limits of this server alone.
         std::shared_ptr<client_limits> limits;
+        /// Whether requests count towards `max_requests`. The answer to a readiness check must not
+        /// depend on the client's other requests.
+        bool counts_requests = true;
     };
 
     /// Counts of requests, closed slow connections and accept pauses.
--- a/tests/settings/settings.tests.cpp
+++ b/tests/settings/settings.tests.cpp
@@ -20,6 +20,26 @@
     CHECK(describe(parsed.problems).empty());
 }
 
+// Guards against limits that reject ordinary clients or bound nothing.
+TEST_CASE("Limits for clients have defaults and ranges", "[settings]") {
+    auto settings = default_settings("entry");
+    CHECK(settings.clients().read_ahead_bytes() == 16'384);
+    CHECK(settings.clients().max_bytes() == 16'777'216);
+    auto& clients = *settings.mutable_clients();
+    clients.set_max_bytes(1);
+    clients.set_max_requests(1);
+    clients.set_address_share_percent(101);
+    clients.set_read_ahead_bytes(16'383);
+    clients.set_receive_timeout_ms(999);
+    clients.set_send_timeout_ms(600'001);
+    clients.set_socket_buffer_bytes(1);
+    const auto problems = check_settings(settings);
+    CHECK(problems.size() == 7);
+    CHECK(has_problem(problems, "clients.max_bytes"));
+    CHECK(has_problem(problems, "clients.read_ahead_bytes"));
+    CHECK(has_problem(problems, "clients.socket_buffer_bytes"));
+}
+
 TEST_CASE("All problems of a document are reported at once", "[settings]") {
     SECTION("unknown keys and wrong types") {
         const auto parsed = parse_settings(R"({
