--- a/src/baobabrack/transport/http_server.cpp
+++ b/src/baobabrack/transport/http_server.cpp
@@ -26,8 +26,8 @@
 constexpr duration min_idle_time = std::chrono::seconds{1};
 // The drain closes connections whose response has not been read for this long.
 constexpr duration drain_send_timeout = std::chrono::seconds{1};
-// Fraction of the connections that a sweep closes at most, so that a sweep frees more of them than
-// the kernel queues (128).
+// Fraction of the used connections that a sweep closes at most, so that a burst of new connections
+// does not close all of them.
 constexpr std::size_t closed_fraction = 8;
 
 std::uint16_t bound_port(int descriptor) {
@@ -212,25 +212,32 @@
     sweep_timer_.arm(sweep_interval, [this] { sweep(); });
 }
 
-// Closes connections without a request: first those of the address with the most connections, and
-// of these the longest idle first.
+// Closes connections without a request: all that have sent nothing for a sweep's interval, as up to
+// 128 more of them can wait in the kernel's queue ahead of an ordinary caller; otherwise first
+// those of the address with the most connections, and of these the longest idle first.
 void http_server::close_longest_idle() {
     std::unordered_map<std::string, std::size_t> by_address;
     std::vector<connection*> idle;
-    const auto oldest = loop_.now() - min_idle_time;
+    std::size_t unused = 0;
     for (const auto& [stream, client] : connections_) {
         ++by_address[client->address()];
-        if (client->is_idle() && client->phase_began() < oldest) {
+        const auto idle_time = loop_.now() - client->phase_began();
+        if (client->is_idle() && idle_time > (client->is_used() ? min_idle_time : sweep_interval)) {
             idle.push_back(client.get());
+            unused += client->is_used() ? 0 : 1;
         }
     }
     std::sort(idle.begin(), idle.end(), [&](connection* left, connection* right) {
+        if (left->is_used() != right->is_used()) {
+            return right->is_used();
+        }
         const auto left_count = by_address[left->address()];
         const auto right_count = by_address[right->address()];
         return left_count != right_count ? left_count > right_count
                                          : left->phase_began() < right->phase_began();
     });
-    idle.resize(std::min(idle.size(), connections_.size() / closed_fraction + 1));
+    const auto most = std::max(unused, connections_.size() / closed_fraction + 1);
+    idle.resize(std::min(idle.size(), most));
     for (auto* client : idle) {
         options_.limits->record(limit_cause::connections, client->address(), loop_.now());
         client->shut_down();
--- a/src/baobabrack/transport/http_server_connection.cpp
+++ b/src/baobabrack/transport/http_server_connection.cpp
@@ -152,6 +152,7 @@
     if (change->n_added == 0) {
         return;
     }
+    from.used_ = true;
     if (from.phase_ == phase::idle) {
         from.received_ = 0;
         from.enter(phase::receiving);
--- a/src/baobabrack/transport/http_server_connection.hpp
+++ b/src/baobabrack/transport/http_server_connection.hpp
@@ -42,6 +42,9 @@
     /// @return whether nothing is received, handled or sent
     bool is_idle() const { return phase_ == phase::idle && !is_sending(); }
 
+    /// @return whether the client has sent anything
+    bool is_used() const { return used_; }
+
     phase current_phase() const { return phase_; }
     time_point phase_began() const { return phase_began_; }
 
@@ -91,6 +94,7 @@
     // Taken from the byte budget.
     std::size_t held_ = 0;
     scoped_timer grant_timer_;
+    bool used_ = false;
     bool shut_down_ = false;
 };
 
--- a/tests/untrusted_clients/crowd.cpp
+++ b/tests/untrusted_clients/crowd.cpp
@@ -68,11 +68,18 @@
     const auto deadline = steady::now() + std::chrono::milliseconds{options_.max_ms};
     auto last_progress = steady::now();
     auto last_sample = steady::now();
+    auto last_read = steady::now();
     while (steady::now() < deadline && steady::now() - last_progress < std::chrono::seconds{2}) {
+        const bool read_now =
+            options_.reads_slowly && steady::now() - last_read > std::chrono::seconds{1};
+        if (read_now) {
+            last_read = steady::now();
+        }
         std::vector<pollfd> waiting;
         for (auto& from : clients_) {
-            if (from->closed && options_.reconnect) {
-                from = std::make_unique<client>(to_);
+            if (read_now) {
+                char byte = 0;
+                recv(from->socket.get(), &byte, 1, MSG_DONTWAIT);
             }
             const auto offset = from->sent % block.size();
             const auto count = from->closed || from->sent >= options_.max_bytes
--- a/tests/untrusted_clients/crowd.hpp
+++ b/tests/untrusted_clients/crowd.hpp
@@ -17,8 +17,8 @@
 /// @return the status of the response, or 0 if none was received within 10 s
 int request_status(const http_endpoint& to, const std::string& request);
 
-/// Connections that send a text over and over and do not read. The load is bounded in connections,
-/// bytes and time.
+/// Connections that send a text over and over and read little or nothing. The load is bounded in
+/// connections, bytes and time.
 class crowd {
 public:
     struct options {
@@ -26,8 +26,8 @@
         /// For each connection.
         std::size_t max_bytes = 8UL << 20U;
         int max_ms = 8000;
-        /// A connection that the server has closed is opened again.
-        bool reconnect = false;
+        /// Whether each connection reads one byte a second, instead of nothing.
+        bool reads_slowly = false;
     };
 
     crowd(http_endpoint to, options opts);
--- a/tests/untrusted_clients/kinds.tests.cpp
+++ b/tests/untrusted_clients/kinds.tests.cpp
@@ -1,3 +1,5 @@
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 
@@ -71,6 +73,22 @@
     check_load(scheduler, "GET / HTTP/1.1\r\n", {.max_bytes = 100, .max_ms = 100});
 }
 
+// Guards against an accept that fails for want of descriptors, which stops the server or keeps the
+// loop busy.
+TEST_CASE("a low limit of descriptors is kept", "[kinds]") {
+    constexpr rlim_t low_limit = 520;
+    rlimit usual{};
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &usual) == 0);
+    const rlimit low{.rlim_cur = low_limit, .rlim_max = usual.rlim_max};
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &low) == 0);
+    scheduler_process scheduler;
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &usual) == 0);
+    const crowd clients{scheduler.callers(), {.connections = 120}};
+    CHECK(scheduler.process().is_running());
+    CHECK(scheduler.process().descriptors() < max_descriptors);
+    CHECK(scheduler.status_of("GET /fitting/ HTTP/1.1\r\n" + headers + "\r\n") == 200);
+}
+
 // Guards against idle connections that keep ordinary callers out.
 TEST_CASE("connections that send nothing leave room for an ordinary request", "[kinds]") {
     scheduler_process scheduler{R"("most_connections": 16, )"};
