--- a/src/baobabrack/ctl/list_commands.cpp
+++ b/src/baobabrack/ctl/list_commands.cpp
@@ -1,6 +1,7 @@
 #include "baobabrack/ctl/list_commands.hpp"
 
 #include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
 #include <ostream>
 
 #include "baobabrack/api.pb.h"
@@ -130,6 +131,41 @@
         });
 }
 
+exit_code show_clients(command_context& context) {
+    const auto outcome = context.client().call({.method = "GET", .path = "/clients"});
+    if (!outcome.succeeded()) {
+        return context.report_failure(outcome, retry_hint);
+    }
+    const auto document = nlohmann::json::parse(outcome.response.body, nullptr, false);
+    if (!document.is_object()) {
+        return context.report_unreadable_response();
+    }
+    if (context.json()) {
+        context.print_body(outcome.response.body);
+        return exit_code::ok;
+    }
+    try {
+        table held{{"CLIENT", "BYTES", "REQUESTS"}};
+        for (const auto& [address, amounts] : document.at("clients").items()) {
+            held.add_row({address, std::to_string(amounts.value("bytes", std::uint64_t{0})),
+                          std::to_string(amounts.value("requests", std::uint64_t{0}))});
+        }
+        held.write(context.out(), "No client holds bytes or requests.");
+        table limited{{"CAUSE", "EVENTS", "LAST CLIENT"}};
+        for (const auto& [cause, entry] : document.at("limited").items()) {
+            const auto total = entry.at("total").get<std::uint64_t>();
+            if (total > 0) {
+                limited.add_row(
+                    {cause, std::to_string(total), entry.at("last_address").get<std::string>()});
+            }
+        }
+        limited.write(context.out(), "No client has been limited.");
+    } catch (const nlohmann::json::exception&) {
+        return context.report_unreadable_response();
+    }
+    return exit_code::ok;
+}
+
 CLI::App* add_list_command(CLI::App& app, const char* group, const char* group_help,
                            const char* command_help) {
     auto* parent = app.add_subcommand(group, group_help);
@@ -149,6 +185,10 @@
          list_targets},
         {app.add_subcommand("confused", "List unknown and former names that callers used"),
          list_confused},
+        {app.add_subcommand("clients",
+                            "Show clients at the limits; --entry is the metrics address of a "
+                            "scheduler or worker guard"),
+         show_clients},
         {app.add_subcommand("status",
                             "Show the state of the entry and of the processes known to it"),
          show_status},
--- a/tests/ctl/program.tests.cpp
+++ b/tests/ctl/program.tests.cpp
@@ -280,5 +280,29 @@
     CHECK(run_with_entry(entry, arguments).out == body);
 }
 
+// Guards against a table that hides which client is at a limit.
+TEST_CASE("the clients at a limit are shown with cause and address", "[ctl]") {
+    const std::string body = R"({"clients": {"127.0.0.9": {"bytes": 65536}},)"
+                             R"( "limited": {"bytes": {"total": 3, "last_address": "127.0.0.8"},)"
+                             R"( "requests": {"total": 0, "last_address": ""}}})";
+    const background_http_server entry{[&](const http_request&) {
+        return http_response{.status = 200, .headers = {}, .body = body};
+    }};
+    const auto result = run_with_entry(entry, {"clients"});
+    CHECK(result.code == exit_code::ok);
+    CHECK(contains(result.out, "127.0.0.9"));
+    CHECK(contains(result.out, "65536"));
+    CHECK(contains(result.out, "127.0.0.8"));
+    CHECK_FALSE(contains(result.out, "requests"));
+}
+
+TEST_CASE("a process without client limits is reported", "[ctl]") {
+    const std::string body = GENERATE("# HELP baobabrack_leading", R"({"clients": 3})");
+    const background_http_server entry{[&](const http_request&) {
+        return http_response{.status = 200, .headers = {}, .body = body};
+    }};
+    CHECK(run_with_entry(entry, {"clients"}).code != exit_code::ok);
+}
+
 }  // namespace
 }  // namespace baobabrack
