Start nothing in an evacuated data centre

Cause: the operator's key evacuate/ZONE was not read, so that tasks went on starting in evacuated data centres.

Change: the follower of the operator's topic keeps the set of evacuated data centres, also after dropped history, and the scheduler excludes their workers, withdraws assignments that have not begun and leaves starts there out of its orders. Orders carry the set and as of when it holds; a guard refuses starts in its evacuated data centre, and starts nothing on a set older than bounds.evacuation_ms less 1500 ms.

--- a/scenarios/fakes/fake_guarded_worker.cpp
+++ b/scenarios/fakes/fake_guarded_worker.cpp
@@ -51,7 +51,7 @@
                          .worker = worker_id{"w-" + options_.host.get()},
                          .version = incarnation{version_}},
             .service = service_id{"service"},
-            .data_centre = data_centre_id{"dc"},
+            .data_centre = options_.data_centre,
             .rack = options_.rack,
             .labels = {workload::label{"a"}, workload::label{options_.rack.get()}},
             .capacity = options_.capacity,
--- a/scenarios/fakes/fake_guarded_worker.hpp
+++ b/scenarios/fakes/fake_guarded_worker.hpp
@@ -47,6 +47,7 @@
         workload::host_id host;
         resources capacity;
         rack_id rack;
+        data_centre_id data_centre{"dc"};
         /// Duration of a run without faults.
         duration run_time = std::chrono::milliseconds{900};
         duration stop_time = std::chrono::milliseconds{150};
--- a/src/baobabrack/daemon/scheduler_program.cpp
+++ b/src/baobabrack/daemon/scheduler_program.cpp
@@ -63,6 +63,7 @@
             .zmq_endpoint = settings.scheduler().zmq_endpoint(),
             .scheduling = decision_options(bounds),
             .max_config_age = from_ms(bounds.config_apply_ms()),
+            .evacuation_bound = from_ms(bounds.evacuation_ms()),
             .max_read_age = from_ms(bounds.visible_ms() * revocation_fraction),
             .status_retention = from_ms(bounds.status_retention_s() * 1000),
             .seeds = seed_endpoints(settings.scheduler())};
--- a/src/baobabrack/daemon/worker_guard_program.cpp
+++ b/src/baobabrack/daemon/worker_guard_program.cpp
@@ -50,7 +50,10 @@
                   .max_lease = std::chrono::milliseconds{static_cast<std::int64_t>(
                       settings_.bounds().most_lease_ms())},
                   .max_announcement_age = std::chrono::milliseconds{static_cast<std::int64_t>(
-                      settings_.bounds().contact_timeout_ms())}},
+                      settings_.bounds().contact_timeout_ms())},
+                  .data_centre = data_centre_id{settings.location().data_centre()},
+                  .evacuation_bound = std::chrono::milliseconds{static_cast<std::int64_t>(
+                      settings_.bounds().evacuation_ms())}},
                  loop_, network_, worker_, metrics_),
           announcements_(guard_, workload::host_id{settings.id()}),
           metrics_handler_(metrics_),
--- a/src/baobabrack/keyed/topic_follower.cpp
+++ b/src/baobabrack/keyed/topic_follower.cpp
@@ -1,7 +1,9 @@
 #include "baobabrack/keyed/topic_follower.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
+#include <vector>
 
 #include "baobabrack/observe/json_log.hpp"
 
@@ -30,9 +32,34 @@
     poll();
 }
 
+void topic_follower::deliver(const keyed_entry& entry) {
+    if (options_.track_keys) {
+        if (entry.record.value.empty()) {
+            present_keys_.erase(entry.record.key);
+        } else {
+            present_keys_.insert(entry.record.key);
+        }
+    }
+    on_entry_(entry);
+}
+
+// A key that is missing from a complete listing has been deleted. If it has been written again
+// since its page was read, that record is at or after the lowest end offset, where polling starts.
+void topic_follower::deliver_deletions() {
+    std::vector<std::string> deleted;
+    std::set_difference(present_keys_.begin(), present_keys_.end(), listed_keys_.begin(),
+                        listed_keys_.end(), std::back_inserter(deleted));
+    const log_offset offset{std::max(listed_end_->get(), std::uint64_t{1}) - 1};
+    for (const auto& key : deleted) {
+        deliver({.offset = offset, .record = {.key = key, .value = ""}});
+    }
+    listed_keys_.clear();
+}
+
 void topic_follower::list_keys(const std::string& after) {
     if (after.empty()) {
         listed_end_.reset();
+        listed_keys_.clear();
         list_started_at_ = loop_.now();
     }
     log_.list_newest(options_.topic, after, options_.answer_timeout,
@@ -51,7 +78,10 @@
     }
     log_recovery();
     for (const auto& entry : page.value().entries) {
-        on_entry_(entry);
+        if (options_.track_keys) {
+            listed_keys_.insert(entry.record.key);
+        }
+        deliver(entry);
     }
     // Pages are read at different times, so polling starts at the lowest end offset.
     listed_end_ = listed_end_ ? std::min(*listed_end_, page.value().end) : page.value().end;
@@ -59,6 +89,12 @@
         list_keys(page.value().entries.back().record.key);
         return;
     }
+    if (options_.track_keys && *listed_end_ < next_offset_) {
+        // A stale listing may lack keys that have been delivered.
+        retry_timer_.arm(options_.retry_delay, [this] { list_keys(""); });
+        return;
+    }
+    deliver_deletions();
     next_offset_ = std::max(next_offset_, *listed_end_);
     caught_up_ = true;
     confirmed_ = std::max(confirmed_.value_or(list_started_at_), list_started_at_);
@@ -94,13 +130,14 @@
     for (const auto& entry : page.value().entries) {
         if (entry.offset >= next_offset_) {
             next_offset_ = log_offset{entry.offset.get() + 1};
-            on_entry_(entry);
+            deliver(entry);
             delivered = true;
         }
     }
     // A reply with a lower end offset than already seen is stale and confirms nothing. A reply
     // without new records is valid as of the end of its wait.
-    if (page.value().end >= next_offset_) {
+    const bool reached_end = !options_.track_keys || page.value().end == next_offset_;
+    if (page.value().end >= next_offset_ && reached_end) {
         const auto waited = std::min(loop_.now() - sent_at, options_.poll_wait);
         const auto as_of = delivered ? sent_at : sent_at + waited;
         confirmed_ = std::max(confirmed_.value_or(as_of), as_of);
--- a/src/baobabrack/keyed/topic_follower.hpp
+++ b/src/baobabrack/keyed/topic_follower.hpp
@@ -4,6 +4,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 
 #include "baobabrack/keyed/keyed_log.hpp"
 #include "baobabrack/runtime/runtime.hpp"
@@ -28,6 +30,11 @@
         duration min_poll_interval{};
         /// Maximum delay between attempts while the store does not reply.
         duration max_retry_delay = std::chrono::milliseconds{300};
+        /// Whether the receiver relies on which keys exist. Then a key that is missing when all
+        /// keys are read anew is delivered as a record without a value, since the record that
+        /// deleted it may have been dropped, and `confirmed` advances only at the topic's end.
+        /// Costs the memory of all keys.
+        bool track_keys = false;
     };
     using entry_handler = std::function<void(const keyed_entry&)>;
 
@@ -67,6 +74,8 @@
     }
 
 private:
+    void deliver(const keyed_entry& entry);
+    void deliver_deletions();
     void list_keys(const std::string& after);
     void handle_list_page(const result<keyed_page>& page);
     void poll();
@@ -81,6 +90,9 @@
     std::function<void()> on_batch_;
     log_offset next_offset_;
     std::optional<log_offset> listed_end_;
+    // With `track_keys`: the keys that exist as far as delivered, and those of the current listing.
+    std::set<std::string> present_keys_;
+    std::set<std::string> listed_keys_;
     time_point list_started_at_{};
     bool caught_up_ = false;
     std::optional<time_point> confirmed_;
--- a/src/baobabrack/settings/settings_check.cpp
+++ b/src/baobabrack/settings/settings_check.cpp
@@ -11,6 +11,10 @@
 
 constexpr std::uint32_t max_port = 65'535;
 constexpr std::size_t min_token_length = 16;
+// The information about evacuations may be as old as the bound less 1500 ms, and is usually up to
+// 1500 ms old.
+constexpr double min_evacuation_ms = 3000;
+constexpr double max_evacuation_ms = 3'600'000;
 
 bool is_loopback(const std::string& host) {
     return host.starts_with("127.") || host == "::1";
@@ -121,6 +125,17 @@
     check_positive(found, path + ".status_retention_s", bounds.status_retention_s());
 }
 
+void check_evacuation_bound(problems& found, const std::string& path,
+                            const wire::WorkloadBounds& bounds) {
+    const auto bound = bounds.evacuation_ms();
+    if (bound != 0 && !(bound >= min_evacuation_ms && bound <= max_evacuation_ms)) {
+        found.push_back(
+            {path + ".evacuation_ms",
+             "expected 0 or a time from 3000 to 3600000 ms, got " + std::to_string(bound),
+             "leave it out where no bound is known"});
+    }
+}
+
 void check_scheduler(problems& found, const wire::SchedulerSettings& scheduler) {
     check_address(found, "scheduler.listen", scheduler.listen());
     check_address(found, "scheduler.readiness", scheduler.readiness());
@@ -129,6 +144,7 @@
     check_address(found, "scheduler.metrics", scheduler.metrics());
     check_zmq(found, "scheduler.zmq_endpoint", scheduler.zmq_endpoint());
     check_bounds(found, "scheduler.bounds", scheduler.bounds());
+    check_evacuation_bound(found, "scheduler.bounds", scheduler.bounds());
 }
 
 void check_worker_guard(problems& found, const wire::WorkerGuardSettings& guard) {
@@ -138,6 +154,7 @@
     check_zmq(found, "worker_guard.zmq_endpoint", guard.zmq_endpoint());
     check_positive(found, "worker_guard.bounds.contact_timeout_ms",
                    guard.bounds().contact_timeout_ms());
+    check_evacuation_bound(found, "worker_guard.bounds", guard.bounds());
     if (guard.scheduler_zmq_port() == 0 || guard.scheduler_zmq_port() > max_port) {
         found.push_back({"worker_guard.scheduler_zmq_port", "expected a TCP port from 1 to 65535",
                          "set the port that schedulers listen on for guards"});
--- a/src/baobabrack/workload/config_source.hpp
+++ b/src/baobabrack/workload/config_source.hpp
@@ -2,13 +2,15 @@
 #define BAOBABRACK_WORKLOAD_CONFIG_SOURCE_HPP
 
 #include <optional>
+#include <set>
 
 #include "baobabrack/units/time.hpp"
 #include "baobabrack/workload/workload_config.hpp"
 
 namespace baobabrack::workload {
 
-/// Provides the latest version of the operator's configuration.
+/// Provides the latest version of the operator's configuration, and the data centres in which the
+/// operator lets nothing more start.
 class config_source {
 public:
     config_source() = default;
@@ -19,7 +21,10 @@
     /// @return the latest configuration, or null if none has been received
     virtual const workload_config* current() const = 0;
 
-    /// @return the last time at which `current` was confirmed to be the latest version
+    /// @return the evacuated data centres; none before the first confirmation
+    virtual const std::set<data_centre_id>& evacuated() const = 0;
+
+    /// @return the last time at which `current` and `evacuated` were confirmed to be the latest
     virtual std::optional<time_point> confirmed() const = 0;
 };
 
--- a/src/baobabrack/workload/guard_sessions.hpp
+++ b/src/baobabrack/workload/guard_sessions.hpp
@@ -38,6 +38,9 @@
     /// process and the report that they respond to.
     void fill_header(const host_id& host, wire::WorkloadOrders& orders);
 
+    /// @return when the latest report of a guard that has joined arrived
+    time_point last_heard(const host_id& host) const { return sessions_.at(host).last_heard; }
+
     /// Records whether the lease of the guard's worker may be extended in reply to its latest
     /// report.
     void set_lease_extendable(const host_id& host, bool extendable);
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -65,6 +65,10 @@
     ///         ignores, as it would expect the lease to expire earlier
     bool handle_report(const worker_report& report, time_point now);
 
+    /// Sets the data centres in which nothing may start. The next decision withdraws the runs there
+    /// that are not known to have begun.
+    void set_evacuated(const std::set<data_centre_id>& evacuated);
+
     /// Updates the state of all jobs and places waiting tasks.
     ///
     /// @param config may be null while the configuration is not known: then nothing starts
@@ -87,7 +91,8 @@
     /// Marks the changes of a batch as stored.
     void mark_stored(const progress_batch& batch);
 
-    /// @return the runs to start and to stop on the worker, based on its latest report
+    /// @return the runs to start and to stop on the worker, based on its latest report. None starts
+    ///         in an evacuated data centre.
     worker_orders orders_for(const worker_report& report);
 
     /// @return the hosts whose orders may have changed since the last call
@@ -288,6 +293,8 @@
     bool has_worker_for(const step_spec& step, const service_id& service) const;
     const service_id& service_for(const open_job& job, const step_spec& step) const;
     candidates find_candidates(const service_id& service, time_point now);
+    bool is_evacuated(const worker_state& worker) const;
+    void withdraw_evacuated_runs();
     std::string_view exclusion_reason(const worker_state& worker, time_point now);
     bool is_test_run(const worker_state& worker, const task_state& state) const;
     bool has_test_run(const worker_state& worker);
@@ -335,6 +342,7 @@
     // Open jobs whose submission has not been read yet. Their runs go on, and ends are not
     // acknowledged.
     std::set<job_id> unread_jobs_;
+    std::set<data_centre_id> evacuated_;
     std::map<worker_instance, std::uint64_t> applied_ends_;
     std::map<worker_instance, std::uint64_t> stored_ends_;
     bool ends_dirty_ = false;
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -19,6 +19,7 @@
 void scheduler::decide(const workload_config* config, time_point now, wall_time wall_now) {
     expire_silent_workers(now);
     report_health(now);
+    withdraw_evacuated_runs();
     if (config != nullptr) {
         judge_lost_runs(now);
     }
--- a/src/baobabrack/workload/scheduler_node.cpp
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "baobabrack/workload/evacuation_view.hpp"
 #include "baobabrack/workload/scheduler_node_limits.hpp"
 
 namespace baobabrack::workload {
@@ -129,17 +130,25 @@
     return sessions_.all_lists_known(guards_.hosts());
 }
 
+// Returns whether the evacuated data centres were confirmed recently enough to start runs.
+bool scheduler_node::evacuations_recent() const {
+    const auto max_age = max_evacuation_age(options_.evacuation_bound);
+    const auto confirmed = deps_.config.confirmed();
+    return !max_age || (confirmed && deps_.loop.now() - *confirmed < *max_age);
+}
+
 const workload_config* scheduler_node::usable_config() const {
     const auto confirmed = deps_.config.confirmed();
     const bool config_recent = confirmed && deps_.loop.now() - *confirmed < options_.max_config_age;
-    return config_recent && leadership_confirmed() && guards_reported() ? deps_.config.current()
-                                                                        : nullptr;
+    const bool may_place = config_recent && evacuations_recent() && leadership_confirmed();
+    return may_place && guards_reported() ? deps_.config.current() : nullptr;
 }
 
 void scheduler_node::decide() {
     if (!is_leader()) {
         return;
     }
+    scheduler_->set_evacuated(deps_.config.evacuated());
     scheduler_->decide(usable_config(), deps_.loop.now(), deps_.loop.wall_now());
     log_decisions();
     flush();
--- a/src/baobabrack/workload/scheduler_node.hpp
+++ b/src/baobabrack/workload/scheduler_node.hpp
@@ -37,6 +37,9 @@
         scheduler::options scheduling;
         /// No run is placed while the configuration was last confirmed longer ago than this.
         duration max_config_age = std::chrono::milliseconds{2500};
+        /// How long after the store has confirmed an evacuation a run may start there at the
+        /// latest; zero if no bound is known.
+        duration evacuation_bound{};
         /// Callers are answered from job state that was confirmed at most one and a half times this
         /// long ago.
         duration max_read_age = std::chrono::milliseconds{2000};
@@ -129,6 +132,8 @@
     void send_orders(const host_id& host);
     bool leadership_confirmed() const;
     bool guards_reported() const;
+    bool evacuations_recent() const;
+    void add_evacuations(const host_id& host, wire::WorkloadOrders& orders) const;
     const workload_config* usable_config() const;
     void log_decisions();
     void update_metrics();
--- a/src/baobabrack/workload/scheduler_node_messages.cpp
+++ b/src/baobabrack/workload/scheduler_node_messages.cpp
@@ -66,8 +66,30 @@
     const bool may_grant = leadership_confirmed() && sessions_.is_lease_extendable(host);
     const auto lease = may_grant ? options_.scheduling.lease : duration::zero();
     orders.set_granted_ms(static_cast<std::uint64_t>(to_ms(lease)));
-    to_wire(scheduler_->orders_for(*report), orders);
+    add_evacuations(host, orders);
+    auto content = scheduler_->orders_for(*report);
+    if (!evacuations_recent()) {
+        // Orders that answer later reports contain the starts again.
+        content.starts.clear();
+    }
+    to_wire(content, orders);
     deps_.network.send(host.get(), out);
 }
 
+// Counts from the guard's latest report, whose time of sending the guard knows by its own clock.
+// The report was sent before it arrived, so what the guard derives is not newer than the
+// information.
+void scheduler_node::add_evacuations(const host_id& host, wire::WorkloadOrders& orders) const {
+    auto& evacuations = *orders.mutable_evacuations();
+    for (const auto& zone : deps_.config.evacuated()) {
+        evacuations.add_data_centres(zone.get());
+    }
+    if (const auto confirmed = deps_.config.confirmed()) {
+        evacuations.set_confirmed(true);
+        const auto age =
+            std::chrono::floor<std::chrono::milliseconds>(*confirmed - sessions_.last_heard(host));
+        evacuations.set_confirmed_ms(age.count());
+    }
+}
+
 }  // namespace baobabrack::workload
--- a/src/baobabrack/workload/scheduler_node_metrics.cpp
+++ b/src/baobabrack/workload/scheduler_node_metrics.cpp
@@ -38,6 +38,10 @@
         .set(is_leader() ? 1 : 0);
     metrics.get_gauge("baobabrack_jobs", "Jobs that are known")
         .set(static_cast<double>(jobs_.jobs().size()));
+    metrics
+        .get_gauge("baobabrack_evacuated_data_centres",
+                   "Data centres in which the operator lets nothing start")
+        .set(static_cast<double>(deps_.config.evacuated().size()));
     metrics.get_gauge("baobabrack_records_unreadable", "Stored records that could not be read")
         .set(static_cast<double>(jobs_.unreadable_records()));
     if (!is_leader()) {
--- a/src/baobabrack/workload/scheduler_orders.cpp
+++ b/src/baobabrack/workload/scheduler_orders.cpp
@@ -33,6 +33,7 @@
         finished.emplace(refusal.task, refusal.run);
     }
     std::set<std::pair<task_name, run_number>> wanted;
+    const bool evacuated = evacuated_.contains(report.facts.data_centre);
     const auto runs = runs_by_host_.find(instance.host);
     for (const auto& name : runs == runs_by_host_.end() ? std::set<task_name>{} : runs->second) {
         const auto ref = find(name);
@@ -49,7 +50,7 @@
         }
         wanted.insert(id);
         const bool stored = ref->state->stored_run == ref->task->run;
-        if (stored && !listed.contains(id) && !finished.contains(id)) {
+        if (stored && !evacuated && !listed.contains(id) && !finished.contains(id)) {
             orders.starts.push_back({.task = name,
                                      .run = ref->task->run,
                                      .payload = ref->job->spec.payload,
--- a/src/baobabrack/workload/scheduler_waiting.cpp
+++ b/src/baobabrack/workload/scheduler_waiting.cpp
@@ -33,6 +33,9 @@
     if (worker.capacity_outdated) {
         return "capacity outdated";
     }
+    if (is_evacuated(worker)) {
+        return "evacuated";
+    }
     const auto health = worker.history.health(now);
     if (health == worker_health::unhealthy) {
         return "unhealthy";
--- a/src/baobabrack/workload/worker_guard.cpp
+++ b/src/baobabrack/workload/worker_guard.cpp
@@ -72,6 +72,7 @@
       network_(network),
       worker_(worker),
       metrics_(metrics),
+      evacuations_(options_.data_centre, options_.evacuation_bound),
       periodic_report_timer_(loop),
       report_timer_(loop),
       renewal_timer_(loop) {
@@ -277,6 +278,7 @@
         lease_.grant(sent + granted);
         lease_.acknowledge_report(message.report_sequence());
     }
+    evacuations_.apply(message);
     runs_.acknowledge_report(message.report_sequence());
     const auto orders = from_wire(options_.host, message);
     if (!facts_ || orders.worker != facts_->instance) {
--- a/src/baobabrack/workload/worker_guard.hpp
+++ b/src/baobabrack/workload/worker_guard.hpp
@@ -12,6 +12,7 @@
 #include "baobabrack/runtime/runtime.hpp"
 #include "baobabrack/runtime/scoped_timer.hpp"
 #include "baobabrack/workload/announcement_age.hpp"
+#include "baobabrack/workload/evacuation_view.hpp"
 #include "baobabrack/workload/guarded_runs.hpp"
 #include "baobabrack/workload/worker_lease.hpp"
 
@@ -42,6 +43,11 @@
         duration max_lease = std::chrono::seconds{10};
         /// Starts do not rely on a capacity that was announced longer ago.
         duration max_announcement_age = std::chrono::seconds{3};
+        /// The data centre of this host.
+        data_centre_id data_centre;
+        /// How long after the store has confirmed an evacuation a run may start there at the
+        /// latest; zero if no bound is known.
+        duration evacuation_bound{};
     };
 
     worker_guard(options opts, runtime& loop, peer_network& network, worker_port& worker,
@@ -99,6 +105,7 @@
     void check_pause();
     duration worker_age() const;
     void check_announcement_age();
+    bool is_evacuated() const;
     void reset_worker_state();
 
     options options_;
@@ -134,6 +141,7 @@
     fencing_token token_;
     std::uint64_t ends_stored_ = 0;
 
+    evacuation_view evacuations_;
     guarded_runs runs_;
     std::map<run_key, time_point> stops_sent_;
     // Starts that are sent once the worker responds.
--- a/src/baobabrack/workload/worker_guard_calls.cpp
+++ b/src/baobabrack/workload/worker_guard_calls.cpp
@@ -32,6 +32,14 @@
         refuse_start(key, "the worker is draining");
         return;
     }
+    if (is_evacuated()) {
+        refuse_start(key, "the data centre is evacuated");
+        return;
+    }
+    if (!evacuations_.is_recent(loop_.now())) {
+        // Orders with newer information contain the start again.
+        return;
+    }
     check_announcement_age();
     if (capacity_outdated_) {
         // The next orders contain the start again.
@@ -102,8 +110,9 @@
 void worker_guard::retry_start(const guarded_runs::lost_start& lost, const std::string& reason) {
     const run_key key{lost.run.task, lost.run.run};
     check_announcement_age();
-    const bool wanted = !stops_sent_.contains(key) && !facts_->draining && !capacity_outdated_ &&
-                        runs_.fits(lost.run.needs, facts_->capacity);
+    const bool may_start = !is_evacuated() && evacuations_.is_recent(loop_.now());
+    const bool wanted = may_start && !stops_sent_.contains(key) && !facts_->draining &&
+                        !capacity_outdated_ && runs_.fits(lost.run.needs, facts_->capacity);
     if (!wanted || lost.outdated || lost.attempts >= max_start_attempts ||
         !send_start(lost.run, lost.attempts + 1)) {
         refuse_start(key, reason);
@@ -200,6 +209,10 @@
     failed_stops_.insert(key);
 }
 
+bool worker_guard::is_evacuated() const {
+    return evacuations_.is_evacuated(facts_->data_centre);
+}
+
 void worker_guard::refuse_start(const run_key& key, const std::string& reason) {
     log_event(log_level::warning, "start-refused")
         .field("job", key.first.step.job.get())
--- a/tests/settings/settings.tests.cpp
+++ b/tests/settings/settings.tests.cpp
@@ -60,6 +60,22 @@
     CHECK_FALSE(has_problem(check_settings(settings), path));
 }
 
+TEST_CASE("The bound of evacuations is 0 or long enough for information to arrive", "[settings]") {
+    wire::Settings settings;
+    auto& bounds = GENERATE(true, false) ? *settings.mutable_scheduler()->mutable_bounds()
+                                         : *settings.mutable_worker_guard()->mutable_bounds();
+    const std::string path = std::string{settings.has_scheduler() ? "scheduler" : "worker_guard"} +
+                             ".bounds.evacuation_ms";
+    CHECK_FALSE(has_problem(check_settings(settings), path));
+    bounds.set_evacuation_ms(5000);
+    CHECK_FALSE(has_problem(check_settings(settings), path));
+    for (const double wrong : {-1.0, 1500.0, 4e6}) {
+        CAPTURE(wrong);
+        bounds.set_evacuation_ms(wrong);
+        CHECK(has_problem(check_settings(settings), path));
+    }
+}
+
 TEST_CASE("Administration without keys is allowed only on loopback", "[settings]") {
     auto settings = default_settings("entry");
     settings.mutable_entry()->mutable_http()->mutable_listen()->set_host("10.0.0.1");
--- a/tests/workload/simulated_cluster.cpp
+++ b/tests/workload/simulated_cluster.cpp
@@ -16,6 +16,11 @@
     return "s" + std::to_string(index);
 }
 
+// Each rack is a data centre of its own.
+data_centre_id zone_name(unsigned rack) {
+    return data_centre_id{"z" + std::to_string(rack)};
+}
+
 std::string host_name(unsigned index) {
     return "h" + std::to_string(index);
 }
@@ -44,6 +49,7 @@
                          .memory = memory_mib{memory_per_host},
                          .accelerators = accelerator_count{opts.accelerators_per_host}},
             .rack = rack_id{"r" + std::to_string(index / opts.hosts_per_rack)},
+            .data_centre = zone_name(index / opts.hosts_per_rack),
             .run_time = opts.run_time,
             .max_listed_ends = opts.max_listed_ends,
             .crash_delay =
@@ -65,17 +71,19 @@
 
 void simulated_cluster::start_scheduler(unsigned index) {
     auto& process = schedulers_[index];
+    process.process = std::make_unique<fakes::process_runtime>(loop);
     process.link = std::make_unique<fakes::fake_store_link>(loop, store);
     process.network = network_.attach(scheduler_name(index));
     process.metrics = std::make_unique<metrics_registry>();
     workload::scheduler_node::options opts{.id = scheduler_name(index),
                                            .version = incarnation{++last_incarnation_},
-                                           .zmq_endpoint = scheduler_name(index)};
+                                           .zmq_endpoint = scheduler_name(index),
+                                           .evacuation_bound = options_.evacuation_bound};
     for (unsigned seed_index = 0; seed_index < options_.schedulers; ++seed_index) {
         opts.seeds.push_back(scheduler_name(seed_index));
     }
     process.node = std::make_unique<workload::scheduler_node>(
-        opts, workload::scheduler_node::dependencies{.loop = loop,
+        opts, workload::scheduler_node::dependencies{.loop = *process.process,
                                                      .log = *process.link,
                                                      .network = *process.network,
                                                      .config = config,
@@ -89,6 +97,17 @@
     process.metrics.reset();
     process.network.reset();
     process.link.reset();
+    process.process.reset();
+}
+
+void simulated_cluster::pause_scheduler(unsigned index) {
+    schedulers_[index].process->pause();
+    schedulers_[index].link->active_faults.silent = true;
+}
+
+void simulated_cluster::resume_scheduler(unsigned index) {
+    schedulers_[index].link->active_faults.silent = false;
+    schedulers_[index].process->resume();
 }
 
 void simulated_cluster::start_guard(unsigned index) {
@@ -99,7 +118,9 @@
     workload::worker_guard::options opts{.host = workload::host_id{host_name(index)},
                                          .version = incarnation{++last_incarnation_},
                                          .zmq_endpoint = host_name(index),
-                                         .seeds = {}};
+                                         .seeds = {},
+                                         .data_centre = zone_name(index / options_.hosts_per_rack),
+                                         .evacuation_bound = options_.evacuation_bound};
     for (unsigned seed_index = 0; seed_index < options_.schedulers; ++seed_index) {
         opts.seeds.push_back(scheduler_name(seed_index));
     }
@@ -263,6 +284,7 @@
     ++runs_started;
     ++runs_of[task];
     last_host[task] = where.host;
+    last_start[where.host] = loop.now();
     first_start.try_emplace(task, loop.now());
     const auto run_text = to_text(task) + " run " + std::to_string(run.get());
     if (!running_[task].empty()) {
--- a/tests/workload/simulated_cluster.hpp
+++ b/tests/workload/simulated_cluster.hpp
@@ -13,6 +13,7 @@
 #include "fakes/fake_guarded_worker.hpp"
 #include "fakes/fake_network.hpp"
 #include "fakes/fake_store.hpp"
+#include "fakes/process_runtime.hpp"
 
 namespace baobabrack::testing {
 
@@ -22,13 +23,17 @@
     explicit fake_config_source(runtime& loop) : loop_(loop) {}
 
     workload::workload_config config;
+    std::set<data_centre_id> evacuated_zones;
     bool available = true;
+    /// Since when nothing has been confirmed, if it is not.
+    std::optional<time_point> confirmed_until;
 
     const workload::workload_config* current() const override {
         return available ? &config : nullptr;
     }
+    const std::set<data_centre_id>& evacuated() const override { return evacuated_zones; }
     std::optional<time_point> confirmed() const override {
-        return available ? std::optional{loop_.now()} : std::nullopt;
+        return available ? std::optional{confirmed_until.value_or(loop_.now())} : std::nullopt;
     }
 
 private:
@@ -48,6 +53,8 @@
         std::uint32_t accelerators_per_host = 8;
         duration run_time = std::chrono::milliseconds{900};
         std::size_t max_listed_ends = 500;
+        /// As of `scheduler_node::options` and `worker_guard::options`.
+        duration evacuation_bound{};
     };
 
     simulated_cluster(std::uint64_t seed, options opts);
@@ -64,6 +71,9 @@
     bool run_until(const std::function<bool()>& condition, duration limit);
 
     void kill_scheduler(unsigned index);
+    /// Defers the timers of a scheduler, and cuts it off from the store.
+    void pause_scheduler(unsigned index);
+    void resume_scheduler(unsigned index);
     void start_scheduler(unsigned index);
     void kill_guard(unsigned index);
     void start_guard(unsigned index);
@@ -135,6 +145,7 @@
     std::map<workload::task_name, unsigned> runs_of;
     std::map<workload::task_name, workload::host_id> last_host;
     std::map<workload::task_name, time_point> first_start;
+    std::map<workload::host_id, time_point> last_start;
 
     void run_started(const workload::task_name& task, workload::run_number run,
                      const workload::worker_instance& where) override;
@@ -145,6 +156,7 @@
 
 private:
     struct scheduler_process {
+        std::unique_ptr<fakes::process_runtime> process;
         std::unique_ptr<fakes::fake_store_link> link;
         std::unique_ptr<peer_network> network;
         std::unique_ptr<metrics_registry> metrics;
--- a/tests/workload/worker_guard.tests.cpp
+++ b/tests/workload/worker_guard.tests.cpp
@@ -51,7 +51,9 @@
           guard({.host = host_id{"h"},
                  .version = incarnation{1},
                  .zmq_endpoint = "h",
-                 .seeds = {"leader"}},
+                 .seeds = {"leader"},
+                 .data_centre = data_centre_id{"north"},
+                 .evacuation_bound = 5s},
                 guard_loop_, *own_, worker, metrics) {
         leader_->connect("h", "h");
         leader_->on_message([this](const std::string&, const wire::PeerMessage& message) {
@@ -68,6 +70,8 @@
     wire::WorkloadReport newest_report;
     std::optional<wall_time> instance_began;
     std::uint64_t granted_ms = 6000;
+    /// What the orders tell about evacuations, if anything.
+    std::optional<wire::WorkloadEvacuations> evacuations;
 
 private:
     fakes::fake_network network_;
@@ -94,6 +98,28 @@
     }
 
     void order(worker_orders orders, std::uint64_t instance, std::uint64_t term = 5) {
+        send(make_order(std::move(orders), instance, term));
+    }
+
+    void send(const wire::PeerMessage& message) {
+        leader_->send("h", message);
+        loop.run_for(5ms);
+    }
+
+    /// Sets what the next orders tell about evacuations.
+    ///
+    /// @param confirmed_ms since when it holds, from when the guard's newest report was sent
+    void tell_evacuations(const std::vector<std::string>& zones, std::int64_t confirmed_ms) {
+        evacuations.emplace();
+        for (const auto& zone : zones) {
+            evacuations->add_data_centres(zone);
+        }
+        evacuations->set_confirmed(true);
+        evacuations->set_confirmed_ms(confirmed_ms);
+    }
+
+    wire::PeerMessage make_order(worker_orders orders, std::uint64_t instance,
+                                 std::uint64_t term = 5) {
         wire::PeerMessage out;
         auto& message = *out.mutable_workload_orders();
         orders.worker = {
@@ -107,8 +133,19 @@
         message.set_report_sequence(newest_report.sequence());
         message.set_report_sent_at_us(newest_report.sent_at_us());
         message.set_granted_ms(granted_ms);
-        leader_->send("h", out);
-        loop.run_for(5ms);
+        if (evacuations) {
+            *message.mutable_evacuations() = *evacuations;
+        }
+        return out;
+    }
+
+    /// Lets time pass while the worker announces itself and answers renewals with empty lists.
+    void keep_alive(duration span) {
+        for (duration passed{}; passed < span; passed += 100ms) {
+            announce(1, 1100 + std::chrono::milliseconds{alive_ += 100ms}.count());
+            answer_renewal({}, 1105 + std::chrono::milliseconds{alive_}.count());
+            loop.run_for(90ms);
+        }
     }
 
     /// Pauses the guard's timers.
@@ -128,6 +165,7 @@
 
 private:
     std::uint64_t sequence_ = 0;
+    std::chrono::milliseconds alive_{};
 };
 
 const task_name task{.step = {.job = job_id{"j"}}};
@@ -660,3 +698,80 @@
         CHECK(fixture.newest_report.worker_age_ms() >= 1400);
     }
 }
+
+TEST_CASE("A guard starts nothing in an evacuated data centre", "[guard][evacuation]") {
+    guard_fixture fixture;
+    fixture.announce(1, 1000);
+    fixture.order({}, 1);
+    fixture.answer_renewal({}, 1010);
+    fixture.tell_evacuations({"north"}, 0);
+    fixture.order(start_of(wanted()), 1);
+    CHECK(fixture.worker.starts.empty());
+    REQUIRE(fixture.newest_report.refusals_size() == 1);
+    CHECK(fixture.newest_report.refusals(0).reason() == "the data centre is evacuated");
+    SECTION("until the evacuation is revoked") {
+        fixture.tell_evacuations({"south"}, 0);
+        auto next = wanted();
+        next.run = run_number{2};
+        fixture.order(start_of(next), 1);
+        CHECK(fixture.worker.starts.size() == 1);
+    }
+}
+
+// An order that a leader sent before an evacuation may arrive seconds later.
+TEST_CASE("A late order starts nothing once its information is older than the bound allows",
+          "[guard][evacuation]") {
+    guard_fixture fixture;
+    fixture.announce(1, 1000);
+    fixture.order({}, 1);
+    fixture.answer_renewal({}, 1010);
+    fixture.tell_evacuations({}, -200);
+    const auto order = fixture.make_order(start_of(wanted()), 1);
+    SECTION("late") {
+        fixture.keep_alive(3400ms);
+        fixture.send(order);
+        CHECK(fixture.worker.starts.empty());
+        CHECK(fixture.newest_report.refusals().empty());
+        fixture.tell_evacuations({}, -200);
+        fixture.order(start_of(wanted()), 1);
+        CHECK(fixture.worker.starts.size() == 1);
+    }
+    SECTION("in time") {
+        fixture.keep_alive(2500ms);
+        fixture.send(order);
+        CHECK(fixture.worker.starts.size() == 1);
+    }
+}
+
+TEST_CASE("A guard starts nothing for a leader that has not confirmed the evacuations",
+          "[guard][evacuation]") {
+    guard_fixture fixture;
+    fixture.announce(1, 1000);
+    fixture.order({}, 1);
+    fixture.answer_renewal({}, 1010);
+    fixture.evacuations.emplace();
+    fixture.order(start_of(wanted()), 1);
+    CHECK(fixture.worker.starts.empty());
+}
+
+TEST_CASE("A lost start is not sent again after the bound", "[guard][evacuation]") {
+    guard_fixture fixture;
+    fixture.announce(1, 1000);
+    fixture.order({}, 1);
+    fixture.answer_renewal({}, 1010);
+    fixture.tell_evacuations({}, -2500);
+    fixture.order(start_of(wanted()), 1);
+    REQUIRE(fixture.worker.starts.size() == 1);
+    SECTION("as the data centre has been evacuated") {
+        fixture.tell_evacuations({"north"}, 0);
+        fixture.order({}, 1);
+    }
+    SECTION("as the information is too old") {
+        fixture.keep_alive(1000ms);
+    }
+    fixture.worker.starts[0].answer({.outcome = call_outcome::unanswered});
+    fixture.loop.run_for(5ms);
+    fixture.answer_renewal({}, 3000);
+    CHECK(fixture.worker.starts.size() == 1);
+    CHECK(fixture.newest_report.refusals_size() == 1);
+}
