--- a/src/baobabrack/workload/lost_work_cause.hpp
+++ b/src/baobabrack/workload/lost_work_cause.hpp
@@ -29,6 +29,8 @@
     done_twice,
     /// The worker shuts down before the run would end.
     worker_leaves,
+    /// The start was withdrawn, since the data centre is being evacuated.
+    evacuated,
     /// Stopped by an earlier leader, or ended without a known reason.
     unknown,
 };
@@ -39,7 +41,7 @@
     lost_work_cause::slow_worker,   lost_work_cause::no_progress,   lost_work_cause::cancelled,
     lost_work_cause::job_failed,    lost_work_cause::run_failed,    lost_work_cause::worker_crashed,
     lost_work_cause::lease_expired, lost_work_cause::start_refused, lost_work_cause::done_twice,
-    lost_work_cause::worker_leaves, lost_work_cause::unknown,
+    lost_work_cause::worker_leaves, lost_work_cause::evacuated,     lost_work_cause::unknown,
 };
 
 /// @return the name in metrics, log fields and reports
@@ -71,6 +73,8 @@
             return "done_twice";
         case lost_work_cause::worker_leaves:
             return "worker_leaves";
+        case lost_work_cause::evacuated:
+            return "evacuated";
         case lost_work_cause::unknown:
             return "unknown";
     }
@@ -96,6 +100,7 @@
     job_failed,
     done_earlier,
     worker_leaves,
+    evacuated,
 };
 
 /// All causes of stops, in the order of their values.
@@ -103,6 +108,7 @@
     stop_cause::preempted,   stop_cause::reclaimed,    stop_cause::gang_ended,
     stop_cause::slow_worker, stop_cause::no_progress,  stop_cause::job_cancelled,
     stop_cause::job_failed,  stop_cause::done_earlier, stop_cause::worker_leaves,
+    stop_cause::evacuated,
 };
 
 /// @return the text for the log
@@ -126,6 +132,8 @@
             return "an earlier run of the task has ended as done";
         case stop_cause::worker_leaves:
             return "the worker leaves before the run ends";
+        case stop_cause::evacuated:
+            return "its data centre is being evacuated";
     }
     return "unknown";
 }
@@ -151,6 +159,8 @@
             return lost_work_cause::done_twice;
         case stop_cause::worker_leaves:
             return lost_work_cause::worker_leaves;
+        case stop_cause::evacuated:
+            return lost_work_cause::evacuated;
     }
     return lost_work_cause::unknown;
 }
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -20,6 +20,7 @@
     expire_silent_workers(now);
     report_health(now);
     stop_departing_runs(now);
+    withdraw_evacuated_runs();
     if (config != nullptr) {
         judge_lost_runs(now);
     }
