Grant a job to callers without a key only where it was submitted without one

Cause: the merge of the access check let calls without a known key use all jobs of a public queue, so that a key that an older configuration does not know was answered as final.

Open: a queue that becomes public after jobs were submitted with keys does not show these to callers without one.

--- a/src/baobabrack/workload/job_access.hpp
+++ b/src/baobabrack/workload/job_access.hpp
@@ -23,8 +23,7 @@
 };
 
 /// A job belongs to the workspace that submitted it, and a job that was submitted without a key to
-/// its queue. Neither changes with the configuration, which may move queues and replace keys. A
-/// call without a key, which only a public queue accepts, may use all jobs of that queue.
+/// its queue. Neither changes with the configuration, which may move queues and replace keys.
 job_access check_access(const job_spec& job, const caller_identity& caller);
 
 }  // namespace baobabrack::workload
