Bound the memory of all connections of a process together

Cause: a bound for each connection only. 2,048 connections times 16 KiB of read-ahead, a response and two kernel buffers of 64 KiB exceed the machine.

connection_budget holds the memory of all open connections, kernel included. A connection takes 160 KiB of it while less than half is used and 48 KiB after that, and none is accepted when nothing is left, so the sum cannot be exceeded whatever the connections hold. Accepted sockets begin with the small kernel buffers, since those that wait in the accept queue are not counted yet. A share is reserved for the servers of readiness, announcements and metrics. New settings max_connection_bytes (48 MiB) and memory_bytes; the check refuses limits above half of the memory.

--- a/src/baobabrack/settings/settings.cpp
+++ b/src/baobabrack/settings/settings.cpp
@@ -22,6 +22,9 @@
 constexpr std::uint32_t default_connections = 64;
 
 constexpr std::uint64_t default_client_bytes = 16UL << 20U;
+constexpr std::uint64_t default_connection_bytes = 48UL << 20U;
+// The memory of a worker guard, the smaller of the two roles' machines.
+constexpr std::uint64_t default_memory_bytes = 128UL << 20U;
 constexpr std::uint32_t default_client_requests = 1'024;
 constexpr std::uint32_t default_address_share_percent = 50;
 constexpr std::uint32_t default_read_ahead_bytes = 16U << 10U;
@@ -44,6 +47,12 @@
     if (clients.max_bytes() == 0) {
         clients.set_max_bytes(default_client_bytes);
     }
+    if (clients.max_connection_bytes() == 0) {
+        clients.set_max_connection_bytes(default_connection_bytes);
+    }
+    if (clients.memory_bytes() == 0) {
+        clients.set_memory_bytes(default_memory_bytes);
+    }
     clients.set_max_requests(or_default(clients.max_requests(), default_client_requests));
     clients.set_address_share_percent(
         or_default(clients.address_share_percent(), default_address_share_percent));
--- a/src/baobabrack/settings/settings_check.cpp
+++ b/src/baobabrack/settings/settings_check.cpp
@@ -171,13 +171,33 @@
     }
 }
 
+// Half of the memory is left to the process itself, whose state grows with the deployment.
+void check_client_memory(problems& found, const wire::ClientSettings& clients) {
+    constexpr std::uint64_t client_fraction = 2;
+    const auto sum = clients.max_bytes() + clients.max_connection_bytes();
+    if (sum > clients.memory_bytes() / client_fraction) {
+        found.push_back({"clients.memory_bytes",
+                         "is " + std::to_string(clients.memory_bytes()) +
+                             ", but clients.max_bytes and clients.max_connection_bytes together " +
+                             "may use " + std::to_string(sum) + " bytes, more than half of it",
+                         "lower these two limits, or set the memory of the process's machine"});
+    }
+}
+
 void check_clients(problems& found, const wire::ClientSettings& clients) {
     constexpr std::uint64_t max_bytes = 1UL << 30U;
+    constexpr std::uint64_t max_memory_bytes = 1UL << 40U;
+    constexpr std::uint64_t min_connection_bytes = 8UL << 20U;
     constexpr std::uint64_t max_timeout_ms = 600'000;
     constexpr std::uint64_t max_buffer_bytes = 1UL << 20U;
     // The largest request head (16 KiB) must fit into what a connection may always hold.
     constexpr std::uint64_t min_read_ahead = 16UL << 10U;
     check_range(found, "clients.max_bytes", clients.max_bytes(), 1UL << 20U, max_bytes, "bytes");
+    check_range(found, "clients.max_connection_bytes", clients.max_connection_bytes(),
+                min_connection_bytes, max_bytes, "bytes");
+    check_range(found, "clients.memory_bytes", clients.memory_bytes(), 1UL << 20U, max_memory_bytes,
+                "bytes");
+    check_client_memory(found, clients);
     check_range(found, "clients.max_requests", clients.max_requests(), 2, 1'000'000, "requests");
     check_range(found, "clients.max_connections", clients.max_connections(), 0, 1'000'000,
                 "connections");
--- a/src/baobabrack/transport/client_limits.cpp
+++ b/src/baobabrack/transport/client_limits.cpp
@@ -77,6 +77,7 @@
     : options_(opts),
       bytes_(opts.max_bytes, share_of(opts.max_bytes, opts.address_share)),
       requests_(opts.max_requests, share_of(opts.max_requests, opts.address_share)),
+      connection_bytes_(opts.max_connection_bytes),
       max_connections_(connections_by_descriptors()) {
     if (opts.max_connections > 0) {
         max_connections_ = std::min(max_connections_, opts.max_connections);
@@ -126,6 +127,12 @@
     }
     return nlohmann::json{{"connections", connections_},
                           {"max_connections", max_connections_},
+                          {"connection_bytes", connection_bytes_.used()},
+                          {"max_connection_bytes", connection_bytes_.max_bytes()},
+                          {"bytes", bytes_.used()},
+                          {"max_bytes", options_.max_bytes},
+                          {"requests", requests_.used()},
+                          {"max_requests", options_.max_requests},
                           {"clients", std::move(clients)},
                           {"limited", std::move(limited)}}
         .dump();
--- a/src/baobabrack/transport/client_limits.hpp
+++ b/src/baobabrack/transport/client_limits.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "baobabrack/metrics/registry.hpp"
+#include "baobabrack/transport/connection_budget.hpp"
 #include "baobabrack/units/time.hpp"
 
 namespace baobabrack {
@@ -62,6 +63,8 @@
         /// hold.
         std::size_t max_bytes = 16UL << 20U;
         std::size_t max_requests = 1024;
+        /// Memory of all open connections, in the process and in the kernel.
+        std::size_t max_connection_bytes = 48UL << 20U;
         /// 0: what the limit of open descriptors allows.
         std::size_t max_connections = 0;
         /// Percentage of each amount that one client address may hold.
@@ -75,13 +78,17 @@
 
     shared_budget& bytes() { return bytes_; }
     shared_budget& requests() { return requests_; }
+    connection_budget& connection_bytes() { return connection_bytes_; }
 
     /// Counts an open connection of any server.
     void add_connection() { ++connections_; }
     void remove_connection() { --connections_; }
 
+    /// @param reserved bytes that must remain available to the connections of other servers
     /// @return whether another connection may be accepted
-    bool accepts_connection() const { return connections_ < max_connections_; }
+    bool accepts_connection(std::size_t reserved = 0) const {
+        return connections_ < max_connections_ && connection_bytes_.has_room(reserved);
+    }
 
     std::size_t max_connections() const { return max_connections_; }
 
@@ -106,6 +113,7 @@
     options options_;
     shared_budget bytes_;
     shared_budget requests_;
+    connection_budget connection_bytes_;
     std::size_t max_connections_;
     std::size_t connections_ = 0;
     std::array<cause_record, limit_causes> causes_;
--- a/src/baobabrack/transport/http_server.cpp
+++ b/src/baobabrack/transport/http_server.cpp
@@ -50,8 +50,9 @@
 }
 
 // Accepted connections inherit these options on Linux.
-void set_listen_options(int descriptor, int buffer_bytes) {
+void set_listen_options(int descriptor) {
     const int on = 1;
+    const int buffer_bytes = static_cast<int>(min_connection_size.socket_buffer);
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
     // The kernel otherwise enlarges them up to several MiB, which count as memory of the process.
@@ -144,7 +145,7 @@
                                  " (choose an address of this host and a free port)");
     }
     const auto descriptor = evhttp_bound_socket_get_fd(bound_socket_);
-    set_listen_options(descriptor, options_.socket_buffer_bytes);
+    set_listen_options(descriptor);
     port_ = bound_port(descriptor);
 }
 
@@ -195,7 +196,7 @@
 
 bool http_server::is_full() const {
     return connections_.size() >= options_.max_connections ||
-           !options_.limits->accepts_connection();
+           !options_.limits->accepts_connection(options_.reserved_connection_bytes);
 }
 
 void http_server::sweep() {
@@ -262,7 +263,7 @@
     if (server.connections_.size() + 1 >= server.options_.max_connections) {
         server.erase_closed_connections();
     }
-    const connection::options opts{.read_ahead = server.options_.read_ahead,
+    const connection::options opts{.full = server.options_.connection,
                                    .receive_timeout = server.options_.receive_timeout,
                                    .send_timeout = server.options_.send_timeout};
     server.connections_.insert_or_assign(
--- a/src/baobabrack/transport/http_server.hpp
+++ b/src/baobabrack/transport/http_server.hpp
@@ -70,12 +70,12 @@
         duration receive_timeout = std::chrono::seconds{30};
         /// While this many connections are open, no more are accepted.
         std::size_t max_connections = 4096;
-        /// Bytes that each connection may always hold unprocessed.
-        std::size_t read_ahead = 16UL << 10U;
+        /// What a connection may always hold while the process has few of them.
+        connection_size connection;
+        /// Memory of connections that must remain available to the other servers of the process.
+        std::size_t reserved_connection_bytes = 0;
         /// Longest time from a response to its last byte leaving the process.
         duration send_timeout = std::chrono::seconds{30};
-        /// Requested size of each connection's send and receive buffers in the kernel.
-        int socket_buffer_bytes = 32 << 10;
         /// Shared by the servers of a process; null: limits of this server alone.
         std::shared_ptr<client_limits> limits;
         /// Whether requests count towards `max_requests`. The answer to a readiness check must not
--- a/src/baobabrack/transport/http_server_connection.cpp
+++ b/src/baobabrack/transport/http_server_connection.cpp
@@ -5,10 +5,12 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
 #include <array>
+#include <utility>
 
 namespace baobabrack {
 
@@ -46,19 +48,21 @@
     : loop_(loop),
       options_(opts),
       limits_(limits),
+      size_(limits.connection_bytes().take(opts.full)),
       stream_(stream),
       phase_began_(loop.now()),
       grant_timer_(loop) {
     bufferevent_incref(stream_);
     evbuffer_add_cb(bufferevent_get_input(stream_), &handle_input, this);
     evbuffer_add_cb(bufferevent_get_output(stream_), &handle_output, this);
-    set_read_limit(options_.read_ahead);
+    set_read_limit(size_.read_ahead);
     limits_.add_connection();
 }
 
 http_server_connection::~http_server_connection() {
     release();
     limits_.remove_connection();
+    limits_.connection_bytes().release(size_);
     // The bufferevent can outlive this object.
     evbuffer_remove_cb(bufferevent_get_input(stream_), &handle_input, this);
     evbuffer_remove_cb(bufferevent_get_output(stream_), &handle_output, this);
@@ -99,12 +103,12 @@
 
 void http_server_connection::begin_handling() {
     enter(phase::handling);
-    set_read_limit(options_.read_ahead);
+    set_read_limit(size_.read_ahead);
 }
 
 void http_server_connection::begin_sending(std::size_t body_bytes) {
     enter(phase::sending);
-    if (body_bytes > options_.read_ahead && !hold(body_bytes)) {
+    if (body_bytes > free_response_bytes && !hold(body_bytes)) {
         limit(limit_cause::bytes);
     }
 }
@@ -140,7 +144,7 @@
     }
     if (phase_ == phase::sending && age > options_.send_timeout) {
         limit(limit_cause::unread_response);
-    } else if (phase_ == phase::sending && input_bytes() >= options_.read_ahead && peer_is_gone()) {
+    } else if (phase_ == phase::sending && input_bytes() >= size_.read_ahead && peer_is_gone()) {
         shut_down();
     }
     return false;
@@ -152,7 +156,9 @@
     if (change->n_added == 0) {
         return;
     }
-    from.used_ = true;
+    if (!std::exchange(from.used_, true)) {
+        from.enlarge_socket_buffers();
+    }
     if (from.phase_ == phase::idle) {
         from.received_ = 0;
         from.enter(phase::receiving);
@@ -164,7 +170,7 @@
 }
 
 bool http_server_connection::needs_more() const {
-    const auto limit = options_.read_ahead + held_;
+    const auto limit = size_.read_ahead + held_;
     return phase_ == phase::receiving && !shut_down_ &&
            (input_bytes() >= limit || received_ >= limit);
 }
@@ -182,7 +188,7 @@
         limit(limit_cause::bytes);
         return;
     }
-    set_read_limit(options_.read_ahead + held_);
+    set_read_limit(size_.read_ahead + held_);
 }
 
 void http_server_connection::handle_output(evbuffer* output, const evbuffer_cb_info* change,
@@ -201,6 +207,19 @@
     check_grant(parse_turns);
 }
 
+// Accepted connections have the smallest buffers, as the kernel may hold many of them in its queue.
+// The window stays at the size of the first buffer unless its clamp is raised too.
+void http_server_connection::enlarge_socket_buffers() {
+    if (size_.socket_buffer <= min_connection_size.socket_buffer) {
+        return;
+    }
+    const auto descriptor = bufferevent_getfd(stream_);
+    const int bytes = static_cast<int>(size_.socket_buffer);
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+    setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_WINDOW_CLAMP, &bytes, sizeof bytes);
+}
+
 bool http_server_connection::hold(std::size_t bytes) {
     if (!limits_.bytes().take(address(), bytes)) {
         return false;
--- a/src/baobabrack/transport/http_server_connection.hpp
+++ b/src/baobabrack/transport/http_server_connection.hpp
@@ -15,15 +15,15 @@
 namespace baobabrack {
 
 /// Flow control of one connection that evhttp manages. While a response is not completely sent,
-/// no more than `read_ahead` bytes are read. A request may exceed this amount only within the
+/// no more than the granted read-ahead is read. A request may exceed this amount only within the
 /// byte budget of the process.
 class http_server_connection {
 public:
     enum class phase { idle, receiving, handling, sending };
 
     struct options {
-        /// Bytes that each connection may always hold unprocessed.
-        std::size_t read_ahead = 16UL << 10U;
+        /// What the connection may hold while the process has few connections.
+        connection_size full;
         duration receive_timeout = std::chrono::seconds{30};
         /// Longest time from a response to its last byte leaving the process.
         duration send_timeout = std::chrono::seconds{30};
@@ -78,6 +78,7 @@
     bool needs_more() const;
     void check_grant(int turns);
     void finish_response();
+    void enlarge_socket_buffers();
     bool hold(std::size_t bytes);
     void release();
     void limit(limit_cause cause);
@@ -85,6 +86,7 @@
     runtime& loop_;
     options options_;
     client_limits& limits_;
+    connection_size size_;
     bufferevent* stream_;
     std::string address_;
     phase phase_ = phase::idle;
--- a/tests/settings/settings.tests.cpp
+++ b/tests/settings/settings.tests.cpp
@@ -106,3 +106,28 @@
     key.set_token("0123456789abcdef");
     CHECK(check_settings(settings).empty());
 }
+
+TEST_CASE("The limits of clients must fit into half of the memory", "[settings]") {
+    auto settings = default_settings("entry");
+    auto& clients = *settings.mutable_clients();
+    const auto* path = "clients.memory_bytes";
+    CHECK(check_settings(settings).empty());
+    SECTION("by the budget of connections") {
+        clients.set_max_connection_bytes(49UL << 20U);
+    }
+    SECTION("by the budget of requests") {
+        clients.set_max_bytes(17UL << 20U);
+    }
+    SECTION("by the memory") {
+        clients.set_memory_bytes(127UL << 20U);
+    }
+    CHECK(has_problem(check_settings(settings), path));
+    clients.set_memory_bytes(1UL << 30U);
+    CHECK(check_settings(settings).empty());
+}
+
+TEST_CASE("A budget of connections that serves no server is refused", "[settings]") {
+    auto settings = default_settings("entry");
+    settings.mutable_clients()->set_max_connection_bytes(1UL << 20U);
+    CHECK(has_problem(check_settings(settings), "clients.max_connection_bytes"));
+}
--- a/tests/untrusted_clients/crowd.cpp
+++ b/tests/untrusted_clients/crowd.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <sys/time.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <chrono>
@@ -17,8 +18,8 @@
 
 using steady = std::chrono::steady_clock;
 
-int connect_to(const http_endpoint& to) {
-    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+int connect_to(const http_endpoint& to, int flags = 0) {
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | flags, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(to.port);
@@ -44,7 +45,7 @@
 }
 
 struct crowd::client {
-    explicit client(const http_endpoint& to) : socket(connect_to(to)) {
+    client(const http_endpoint& to, int flags) : socket(connect_to(to, flags)) {
         fcntl(socket.get(), F_SETFL, O_NONBLOCK);
     }
 
@@ -55,7 +56,8 @@
 
 crowd::crowd(http_endpoint to, options opts) : to_(std::move(to)), options_(opts) {
     for (std::size_t i = 0; i < options_.connections; ++i) {
-        clients_.push_back(std::make_unique<client>(to_));
+        clients_.push_back(
+            std::make_unique<client>(to_, options_.connects_at_once ? SOCK_NONBLOCK : 0));
     }
 }
 
@@ -63,10 +65,12 @@
 
 void crowd::send(const std::string& text, const std::function<void()>& sample) {
     // A large block needs fewer system calls; the remainder of a partial send continues the text.
-    std::string block;
-    while (block.size() < (1UL << 16U)) {
+    std::string block = text;
+    while (!options_.sends_once && block.size() < (1UL << 16U)) {
         block += text;
     }
+    const auto max_bytes =
+        options_.sends_once ? std::min(text.size(), options_.max_bytes) : options_.max_bytes;
     const auto deadline = steady::now() + std::chrono::milliseconds{options_.max_ms};
     auto last_progress = steady::now();
     auto last_sample = steady::now();
@@ -84,7 +88,7 @@
                 recv(from->socket.get(), &byte, 1, MSG_DONTWAIT);
             }
             const auto offset = from->sent % block.size();
-            const auto count = from->closed || from->sent >= options_.max_bytes
+            const auto count = from->closed || from->sent >= max_bytes
                                    ? 0
                                    : ::send(from->socket.get(), block.data() + offset,
                                             block.size() - offset, MSG_NOSIGNAL | MSG_DONTWAIT);
@@ -94,7 +98,7 @@
             } else if (count < 0 && errno != EAGAIN) {
                 from->closed = true;
             }
-            if (!from->closed && from->sent < options_.max_bytes) {
+            if (!from->closed && from->sent < max_bytes) {
                 waiting.push_back({.fd = from->socket.get(), .events = POLLOUT, .revents = 0});
             }
         }
--- a/tests/untrusted_clients/crowd.hpp
+++ b/tests/untrusted_clients/crowd.hpp
@@ -28,6 +28,10 @@
         int max_ms = 8000;
         /// Whether each connection reads one byte a second, instead of nothing.
         bool reads_slowly = false;
+        /// Whether connections are opened without waiting for the server to accept them.
+        bool connects_at_once = false;
+        /// Whether the text is sent only once, instead of repeatedly.
+        bool sends_once = false;
     };
 
     crowd(http_endpoint to, options opts);
--- a/tests/untrusted_clients/daemon_process.cpp
+++ b/tests/untrusted_clients/daemon_process.cpp
@@ -8,6 +8,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <csignal>
@@ -32,6 +33,54 @@
            std::to_string((id >> 8U) & 255U) + "." + std::to_string(id & 255U);
 }
 
+std::filesystem::path settings_file(const std::string& role) {
+    return std::filesystem::temp_directory_path() /
+           ("untrusted-clients-" + role + "-" + std::to_string(getpid()) + ".json");
+}
+
+void remove_file(const std::string& file) {
+    std::error_code error;
+    std::filesystem::remove(file, error);
+}
+
+/// Throws std::runtime_error if the condition does not hold within 10 s.
+template <typename Condition>
+void wait_until(const Condition& holds, const std::string& failure) {
+    constexpr int attempts = 100;
+    for (int attempt = 0; attempt < attempts; ++attempt) {
+        if (holds()) {
+            return;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    }
+    throw std::runtime_error(failure);
+}
+
+std::size_t queued_bytes(const std::string& host, std::uint16_t port) {
+    in_addr address{};
+    inet_pton(AF_INET, host.c_str(), &address);
+    std::array<char, 16> wanted{};
+    std::snprintf(wanted.data(), wanted.size(), "%08X:%04X", address.s_addr, port);
+    std::ifstream table{"/proc/net/tcp"};
+    std::string line;
+    std::size_t total = 0;
+    while (std::getline(table, line)) {
+        std::istringstream fields{line};
+        std::string slot;
+        std::string local;
+        std::string remote;
+        std::string state;
+        std::string queues;
+        fields >> slot >> local >> remote >> state >> queues;
+        // State 0A is a listening socket, whose queue counts connections.
+        if (local == wanted.data() && state != "0A") {
+            total += std::stoul(queues.substr(0, 8), nullptr, 16) +
+                     std::stoul(queues.substr(9), nullptr, 16);
+        }
+    }
+    return total;
+}
+
 std::string readiness_request() {
     return "GET /-/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
 }
@@ -88,67 +137,73 @@
     return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
 }
 
-scheduler_process::scheduler_process(const std::string& settings)
+void process_peak::sample(const child_process& process, std::size_t queued) {
+    memory = std::max(memory, process.peak_memory() + queued);
+    descriptors = std::max(descriptors, process.descriptors());
+}
+
+scheduler_process::scheduler_process(const std::string& settings, const std::string& clients)
     : host_(own_address()),
-      file_(write_settings(settings)),
+      file_(write_settings(settings, clients)),
       platform_({PLATFORM_STANDIN, "--store", host_ + ":7311", "--config", PLATFORM_CONFIG}),
       scheduler_({BAOBABRACKD, "--settings", file_}) {
-    constexpr int attempts = 100;
-    for (int attempt = 0; attempt < attempts; ++attempt) {
-        if (status_of(readiness_request(), 7312) == 200) {
-            return;
-        }
-        std::this_thread::sleep_for(std::chrono::milliseconds{100});
-    }
-    throw std::runtime_error("the scheduler does not become ready");
+    wait_until([this] { return status_of(readiness_request(), 7312) == 200; },
+               "the scheduler does not become ready");
 }
 
 scheduler_process::~scheduler_process() {
-    std::error_code error;
-    std::filesystem::remove(file_, error);
+    remove_file(file_);
 }
 
 int scheduler_process::status_of(const std::string& request, std::uint16_t port) const {
     return request_status({host_, port}, request);
 }
 
-std::size_t scheduler_process::socket_bytes() const {
-    in_addr address{};
-    inet_pton(AF_INET, host_.c_str(), &address);
-    std::array<char, 16> wanted{};
-    std::snprintf(wanted.data(), wanted.size(), "%08X:%04X", address.s_addr, 7310);
-    std::ifstream table{"/proc/net/tcp"};
-    std::string line;
-    std::size_t total = 0;
-    while (std::getline(table, line)) {
-        std::istringstream fields{line};
-        std::string slot;
-        std::string local;
-        std::string remote;
-        std::string state;
-        std::string queues;
-        fields >> slot >> local >> remote >> state >> queues;
-        // State 0A is a listening socket, whose queue counts connections.
-        if (local == wanted.data() && state != "0A") {
-            total += std::stoul(queues.substr(0, 8), nullptr, 16) +
-                     std::stoul(queues.substr(9), nullptr, 16);
-        }
-    }
-    return total;
+std::size_t scheduler_process::socket_bytes(std::uint16_t port) const {
+    return queued_bytes(host_, port);
 }
 
-std::string scheduler_process::write_settings(const std::string& settings) const {
-    const auto file = std::filesystem::temp_directory_path() /
-                      ("untrusted-clients-" + std::to_string(getpid()) + ".json");
+std::string scheduler_process::write_settings(const std::string& settings,
+                                              const std::string& clients) const {
+    const auto file = settings_file("scheduler");
     std::ofstream out{file};
-    out << R"({"id": "s1", "location": {"region": "r", "data_centre": "d"}, "scheduler": {)"
-        << settings << R"("listen": ")" << host_ << R"(:7310", "readiness": ")" << host_
-        << R"(:7312", "announcements": ")" << host_ << R"(:7313", "store": ")" << host_
-        << R"(:7311", "metrics": ")" << host_ << R"(:7314", "zmq_endpoint": "tcp://)" << host_
+    out << R"({"id": "s1", "location": {"region": "r", "data_centre": "d"}, "clients": {)"
+        << clients << R"(}, "scheduler": {)" << settings << R"("listen": ")" << host_
+        << R"(:7310", "readiness": ")" << host_ << R"(:7312", "announcements": ")" << host_
+        << R"(:7313", "store": ")" << host_ << R"(:7311", "metrics": ")" << host_
+        << R"(:7314", "zmq_endpoint": "tcp://)" << host_
         << R"(:7315", "bounds": {"config_apply_ms": 60000, "revocation_ms": 60000,
              "grace_period_s": 10, "most_lease_ms": 10000, "visible_ms": 60000,
              "status_retention_s": 600}}})";
     return file.string();
 }
 
+guard_process::guard_process()
+    : host_(own_address()), file_(write_settings()), guard_({BAOBABRACKD, "--settings", file_}) {
+    wait_until([this] { return announcement_status() == 200; },
+               "the guard does not accept announcements");
+}
+
+guard_process::~guard_process() {
+    remove_file(file_);
+}
+
+int guard_process::announcement_status() const {
+    return request_status(announcements(), "DELETE /-/instances/i-1 HTTP/1.1\r\nHost: x\r\n\r\n");
+}
+
+std::size_t guard_process::socket_bytes(std::uint16_t port) const {
+    return queued_bytes(host_, port);
+}
+
+std::string guard_process::write_settings() const {
+    const auto file = settings_file("guard");
+    std::ofstream out{file};
+    out << R"({"id": "g1", "location": {"region": "r", "data_centre": "d"}, "worker_guard": {)"
+        << R"("announcements": ")" << host_ << R"(:7323", "worker": ")" << host_
+        << R"(:7321", "metrics": ")" << host_ << R"(:7324", "zmq_endpoint": "tcp://)" << host_
+        << R"(:7325", "scheduler_zmq_port": 7315, "bounds": {"contact_timeout_ms": 4000}}})";
+    return file.string();
+}
+
 }  // namespace baobabrack::testing
