Move reading the addresses of sockets to a file of its own

The server's own port and the client's address were read in two files, each with its own suppressed casts; the peers' port will need both too.

--- a/src/baobabrack/transport/http_server.cpp
+++ b/src/baobabrack/transport/http_server.cpp
@@ -1,6 +1,5 @@
 #include "baobabrack/transport/http_server.hpp"
 
-#include <arpa/inet.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/listener.h>
@@ -14,6 +13,7 @@
 
 #include "baobabrack/transport/event_runtime.hpp"
 #include "baobabrack/transport/http_codec.hpp"
+#include "baobabrack/transport/socket_info.hpp"
 
 namespace baobabrack {
 
@@ -30,25 +30,6 @@
 // does not close all of them.
 constexpr std::size_t closed_fraction = 8;
 
-std::uint16_t bound_port(int descriptor) {
-    sockaddr_storage address{};
-    socklen_t size = sizeof address;
-    // The socket API passes addresses of all families as sockaddr.
-    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
-    if (getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
-        return 0;
-    }
-    std::uint16_t port = 0;
-    if (address.ss_family == AF_INET6) {
-        // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
-        port = reinterpret_cast<const sockaddr_in6&>(address).sin6_port;
-    } else {
-        // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
-        port = reinterpret_cast<const sockaddr_in&>(address).sin_port;
-    }
-    return ntohs(port);
-}
-
 // Accepted connections inherit these options on Linux.
 void set_listen_options(int descriptor) {
     const int on = 1;
@@ -146,7 +127,7 @@
     }
     const auto descriptor = evhttp_bound_socket_get_fd(bound_socket_);
     set_listen_options(descriptor);
-    port_ = bound_port(descriptor);
+    port_ = local_port(descriptor);
 }
 
 void http_server::stop_accepting() {
--- a/src/baobabrack/transport/http_server_connection.cpp
+++ b/src/baobabrack/transport/http_server_connection.cpp
@@ -1,6 +1,5 @@
 #include "baobabrack/transport/http_server_connection.hpp"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -9,9 +8,10 @@
 #include <poll.h>
 #include <sys/socket.h>
 
-#include <array>
 #include <utility>
 
+#include "baobabrack/transport/socket_info.hpp"
+
 namespace baobabrack {
 
 namespace {
@@ -22,25 +22,6 @@
 // still incomplete after that needs more than it may hold.
 constexpr int parse_turns = 2;
 
-std::string peer_address(int descriptor) {
-    sockaddr_storage address{};
-    socklen_t size = sizeof address;
-    // The socket API passes addresses of all families as sockaddr.
-    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
-    if (getpeername(descriptor, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
-        return "unknown";
-    }
-    std::array<char, INET6_ADDRSTRLEN> text{};
-    // NOLINTBEGIN(cppcoreguidelines-pro-type-reinterpret-cast)
-    const void* number =
-        address.ss_family == AF_INET6
-            ? static_cast<const void*>(&reinterpret_cast<const sockaddr_in6&>(address).sin6_addr)
-            : &reinterpret_cast<const sockaddr_in&>(address).sin_addr;
-    // NOLINTEND(cppcoreguidelines-pro-type-reinterpret-cast)
-    inet_ntop(address.ss_family, number, text.data(), text.size());
-    return text.data();
-}
-
 }  // namespace
 
 http_server_connection::http_server_connection(runtime& loop, options opts, client_limits& limits,
