Close clients without progress sooner the fuller a server is

With 2,500 connections that sent requests ahead and read nothing, 5 of 10 ordinary calls were answered in time, 3 of 9 without a route, and 3 of 9 beside incomplete bodies. A worker's announcement waited behind such connections at its guard in the same way.

Cause: at the limit of connections only idle ones gave way. Those with an unread response or an incomplete request kept their place for 30 s, while ordinary callers waited in the accept queue.

--- a/src/baobabrack/transport/client_limits.hpp
+++ b/src/baobabrack/transport/client_limits.hpp
@@ -1,6 +1,7 @@
 #ifndef BAOBABRACK_TRANSPORT_CLIENT_LIMITS_HPP
 #define BAOBABRACK_TRANSPORT_CLIENT_LIMITS_HPP
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -90,6 +91,12 @@
         return connections_ < max_connections_ && connection_bytes_.has_room(reserved);
     }
 
+    /// @return the fraction of the connections or of their memory that is used, whichever is larger
+    double use(std::size_t reserved = 0) const {
+        return std::max(static_cast<double>(connections_) / static_cast<double>(max_connections_),
+                        connection_bytes_.use(reserved));
+    }
+
     std::size_t max_connections() const { return max_connections_; }
 
     /// Counts a rejected client or closed connection, and logs it at most once for each cause in 10
--- a/src/baobabrack/transport/http_server.cpp
+++ b/src/baobabrack/transport/http_server.cpp
@@ -22,13 +22,12 @@
 constexpr duration sweep_interval = std::chrono::milliseconds{200};
 constexpr int status_internal_error = 500;
 constexpr int status_service_unavailable = 503;
-// While connections are used up, only those idle for this long are closed.
-constexpr duration min_idle_time = std::chrono::seconds{1};
+// While connections wait to be accepted.
+constexpr duration full_sweep_interval = std::chrono::milliseconds{50};
 // The drain closes connections whose response has not been read for this long.
 constexpr duration drain_send_timeout = std::chrono::seconds{1};
-// Fraction of the used connections that a sweep closes at most, so that a burst of new connections
-// does not close all of them.
-constexpr std::size_t closed_fraction = 8;
+// While connections wait to be accepted, others are closed after this many requests.
+constexpr std::size_t max_requests_when_full = 16;
 
 // Accepted connections inherit these options on Linux.
 void set_listen_options(int descriptor) {
@@ -70,8 +69,9 @@
         return;
     }
     auto* raw = request;
-    const bool close_connection = !server->accepting_connections_;
-    if (auto* from = server->find_connection(raw)) {
+    auto* from = server->find_connection(raw);
+    const bool close_connection = server->closes_after_response(from);
+    if (from != nullptr) {
         from->begin_sending(response.body.size());
     }
     detach();
@@ -180,49 +180,57 @@
            !options_.limits->accepts_connection(options_.reserved_connection_bytes);
 }
 
+double http_server::use() const {
+    const auto own = static_cast<double>(connections_.size()) /
+                     static_cast<double>(std::max<std::size_t>(options_.max_connections, 1));
+    return std::max(own, options_.limits->use(options_.reserved_connection_bytes));
+}
+
+// Clients that send request after request would otherwise keep their place while others wait.
+bool http_server::closes_after_response(const connection* from) const {
+    return !accepting_connections_ ||
+           (accept_paused_ && from != nullptr && from->requests() >= max_requests_when_full);
+}
+
 void http_server::sweep() {
     erase_closed_connections();
+    const auto time_limits = connection_policy::scale({.receive = options_.receive_timeout,
+                                                       .send = options_.send_timeout,
+                                                       .stall = options_.stall_timeout},
+                                                      use());
     for (const auto& [stream, client] : connections_) {
-        if (client->close_if_late()) {
+        if (client->close_if_late(time_limits)) {
             ++counts_.receive_timeouts;
         }
     }
     if (is_full()) {
-        close_longest_idle();
+        close_idle_for_others();
     }
     set_accepting(!is_full());
-    sweep_timer_.arm(sweep_interval, [this] { sweep(); });
+    sweep_timer_.arm(accept_paused_ ? full_sweep_interval : sweep_interval, [this] { sweep(); });
 }
 
-// Closes connections without a request: all that have sent nothing for a sweep's interval, as up to
-// 128 more of them can wait in the kernel's queue ahead of an ordinary caller; otherwise first
-// those of the address with the most connections, and of these the longest idle first.
-void http_server::close_longest_idle() {
+void http_server::close_idle_for_others() {
     std::unordered_map<std::string, std::size_t> by_address;
-    std::vector<connection*> idle;
-    std::size_t unused = 0;
+    std::vector<connection*> clients;
     for (const auto& [stream, client] : connections_) {
         ++by_address[client->address()];
-        const auto idle_time = loop_.now() - client->phase_began();
-        if (client->is_idle() && idle_time > (client->is_used() ? min_idle_time : sweep_interval)) {
-            idle.push_back(client.get());
-            unused += client->is_used() ? 0 : 1;
-        }
+        clients.push_back(client.get());
     }
-    std::sort(idle.begin(), idle.end(), [&](connection* left, connection* right) {
-        if (left->is_used() != right->is_used()) {
-            return right->is_used();
+    std::vector<connection_policy::idle_connection> idle;
+    for (std::size_t i = 0; i < clients.size(); ++i) {
+        auto& client = *clients[i];
+        if (client.is_idle()) {
+            idle.push_back({.index = i,
+                            .address_connections = by_address[client.address()],
+                            .idle_time = loop_.now() - client.phase_began(),
+                            .used = client.is_used()});
         }
-        const auto left_count = by_address[left->address()];
-        const auto right_count = by_address[right->address()];
-        return left_count != right_count ? left_count > right_count
-                                         : left->phase_began() < right->phase_began();
-    });
-    const auto most = std::max(unused, connections_.size() / closed_fraction + 1);
-    idle.resize(std::min(idle.size(), most));
-    for (auto* client : idle) {
-        options_.limits->record(limit_cause::connections, client->address(), loop_.now());
-        client->shut_down();
+    }
+    for (const auto index : connection_policy::choose_idle(std::move(idle), clients.size())) {
+        auto& client = *clients[index];
+        options_.limits->record(limit_cause::connections, client.address(), loop_.now());
+        client.shut_down();
     }
 }
 
@@ -244,11 +252,9 @@
     if (server.connections_.size() + 1 >= server.options_.max_connections) {
         server.erase_closed_connections();
     }
-    const connection::options opts{.full = server.options_.connection,
-                                   .receive_timeout = server.options_.receive_timeout,
-                                   .send_timeout = server.options_.send_timeout};
     server.connections_.insert_or_assign(
-        stream, std::make_unique<connection>(server.loop_, opts, *server.options_.limits, stream));
+        stream, std::make_unique<connection>(server.loop_, server.options_.connection,
+                                             *server.options_.limits, stream));
     if (server.is_full()) {
         server.set_accepting(false);
     }
--- a/src/baobabrack/transport/http_server.hpp
+++ b/src/baobabrack/transport/http_server.hpp
@@ -76,6 +76,8 @@
         std::size_t reserved_connection_bytes = 0;
         /// Longest time from a response to its last byte leaving the process.
         duration send_timeout = std::chrono::seconds{30};
+        /// Longest time without a byte of an incomplete request or an unread response.
+        duration stall_timeout = std::chrono::seconds{30};
         /// Shared by the servers of a process; null: limits of this server alone.
         std::shared_ptr<client_limits> limits;
         /// Whether requests count towards `max_requests`. The answer to a readiness check must not
@@ -130,7 +132,9 @@
     void bind();
     void set_accepting(bool enabled);
     bool is_full() const;
-    void close_longest_idle();
+    double use() const;
+    bool closes_after_response(const connection* from) const;
+    void close_idle_for_others();
     void erase_closed_connections();
     void sweep();
     connection* find_connection(evhttp_request* request);
--- a/src/baobabrack/transport/http_server_connection.cpp
+++ b/src/baobabrack/transport/http_server_connection.cpp
@@ -8,6 +8,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "baobabrack/transport/socket_info.hpp"
@@ -24,14 +25,14 @@
 
 }  // namespace
 
-http_server_connection::http_server_connection(runtime& loop, options opts, client_limits& limits,
-                                               bufferevent* stream)
+http_server_connection::http_server_connection(runtime& loop, connection_size full,
+                                               client_limits& limits, bufferevent* stream)
     : loop_(loop),
-      options_(opts),
       limits_(limits),
-      size_(limits.connection_bytes().take(opts.full)),
+      size_(limits.connection_bytes().take(full)),
       stream_(stream),
       phase_began_(loop.now()),
+      progressed_at_(phase_began_),
       grant_timer_(loop) {
     bufferevent_incref(stream_);
     evbuffer_add_cb(bufferevent_get_input(stream_), &handle_input, this);
@@ -83,6 +84,7 @@
 }
 
 void http_server_connection::begin_handling() {
+    ++requests_;
     enter(phase::handling);
     set_read_limit(size_.read_ahead);
 }
@@ -117,13 +119,18 @@
     return poll(&state, 1, 0) > 0;
 }
 
-bool http_server_connection::close_if_late() {
-    const auto age = loop_.now() - phase_began_;
-    if (phase_ == phase::receiving && age > options_.receive_timeout) {
+bool http_server_connection::close_if_late(const connection_policy::time_limits& time_limits) {
+    const auto now = loop_.now();
+    if (std::exchange(progressed_, false)) {
+        progressed_at_ = now;
+    }
+    const auto age = now - phase_began_;
+    const bool is_stalled = now - std::max(progressed_at_, phase_began_) > time_limits.stall;
+    if (phase_ == phase::receiving && (is_stalled || age > time_limits.receive)) {
         limit(limit_cause::slow_request);
         return true;
     }
-    if (phase_ == phase::sending && age > options_.send_timeout) {
+    if (phase_ == phase::sending && (is_stalled || age > time_limits.send)) {
         limit(limit_cause::unread_response);
     } else if (phase_ == phase::sending && input_bytes() >= size_.read_ahead && peer_is_gone()) {
         shut_down();
@@ -140,6 +147,7 @@
     if (!std::exchange(from.used_, true)) {
         from.enlarge_socket_buffers();
     }
+    from.progressed_ = true;
     if (from.phase_ == phase::idle) {
         from.received_ = 0;
         from.enter(phase::receiving);
@@ -175,6 +183,7 @@
 void http_server_connection::handle_output(evbuffer* output, const evbuffer_cb_info* change,
                                            void* self) {
     auto& from = *static_cast<http_server_connection*>(self);
+    from.progressed_ = from.progressed_ || change->n_deleted > 0;
     if (change->n_deleted > 0 && evbuffer_get_length(output) == 0 &&
         from.phase_ == phase::sending) {
         from.finish_response();
--- a/src/baobabrack/transport/http_server_connection.hpp
+++ b/src/baobabrack/transport/http_server_connection.hpp
@@ -7,6 +7,7 @@
 #include "baobabrack/runtime/runtime.hpp"
 #include "baobabrack/runtime/scoped_timer.hpp"
 #include "baobabrack/transport/client_limits.hpp"
+#include "baobabrack/transport/connection_policy.hpp"
 
 struct bufferevent;
 struct evbuffer;
@@ -21,17 +22,12 @@
 public:
     enum class phase { idle, receiving, handling, sending };
 
-    struct options {
-        /// What the connection may hold while the process has few connections.
-        connection_size full;
-        duration receive_timeout = std::chrono::seconds{30};
-        /// Longest time from a response to its last byte leaving the process.
-        duration send_timeout = std::chrono::seconds{30};
-    };
-
     /// Keeps the bufferevent alive after evhttp has closed the connection, until `is_closed` is
     /// observed.
-    http_server_connection(runtime& loop, options opts, client_limits& limits, bufferevent* stream);
+    ///
+    /// @param full what the connection may hold while the process has few connections
+    http_server_connection(runtime& loop, connection_size full, client_limits& limits,
+                           bufferevent* stream);
     http_server_connection(const http_server_connection&) = delete;
     http_server_connection& operator=(const http_server_connection&) = delete;
     ~http_server_connection();
@@ -62,10 +58,14 @@
     /// Makes evhttp free the connection, as if the client had closed it.
     void shut_down();
 
+    /// @return the number of complete requests so far
+    std::size_t requests() const { return requests_; }
+
     /// Closes the connection if the client is too slow or, with reading stopped, has disconnected.
+    /// Called periodically; progress is noticed with the precision of the calls.
     ///
     /// @return whether the connection was closed because a receive time limit expired
-    bool close_if_late();
+    bool close_if_late(const connection_policy::time_limits& time_limits);
 
 private:
     static void handle_input(evbuffer* input, const evbuffer_cb_info* change, void* self);
@@ -84,13 +84,16 @@
     void limit(limit_cause cause);
 
     runtime& loop_;
-    options options_;
     client_limits& limits_;
     connection_size size_;
     bufferevent* stream_;
     std::string address_;
     phase phase_ = phase::idle;
     time_point phase_began_;
+    time_point progressed_at_;
+    // Whether bytes were transferred since the last call of `close_if_late`.
+    bool progressed_ = false;
+    std::size_t requests_ = 0;
     // Received bytes of the current request, including chunks that evhttp has moved to the body.
     std::size_t received_ = 0;
     // Taken from the byte budget.
--- a/tests/untrusted_clients/process_limits.tests.cpp
+++ b/tests/untrusted_clients/process_limits.tests.cpp
@@ -19,6 +19,8 @@
 const std::string status_request = "GET /fitting/job-1 HTTP/1.1\r\n" + headers + "\r\n";
 const std::string no_route = "GET /nothing HTTP/1.1\r\nHost: nowhere.example\r\n\r\n";
 const std::string ordinary_request = "GET /fitting/ HTTP/1.1\r\n" + headers + "\r\n";
+const std::string incomplete_body = "POST /fitting/job-1 HTTP/1.1\r\n" + headers +
+                                    "Content-Length: 60000\r\n\r\n" + std::string(15'000, 'x');
 
 // Guards against a limit for each connection whose sum over all connections has no limit.
 TEST_CASE("unread responses are bounded over all connections", "[process]") {
@@ -35,5 +37,34 @@
     CHECK(scheduler.status_of(ordinary_request) == 200);
 }
 
+void check_full_server(const std::string& text, bool sends_once) {
+    scheduler_process scheduler{R"("most_connections": 16, )"};
+    process_peak peak;
+    crowd clients{scheduler.callers(), {.connections = 32, .sends_once = sends_once}};
+    clients.send(text, [&] { peak.sample(scheduler.process(), scheduler.socket_bytes()); });
+    CHECK(scheduler.process().is_running());
+    CHECK(peak.memory < max_memory);
+    CHECK(peak.descriptors < max_descriptors);
+    CHECK(scheduler.status_of(ordinary_request) == 200);
+    CHECK(scheduler.status_of("GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n", 7312) == 200);
+}
+
+// Guards against connections that keep their place while they make no progress.
+TEST_CASE("unread responses leave room for an ordinary request", "[process]") {
+    check_full_server(status_request, false);
+}
+
+TEST_CASE("unread responses without a route leave room for an ordinary request", "[process]") {
+    check_full_server(no_route, false);
+}
+
+TEST_CASE("incomplete bodies leave room for an ordinary request", "[process]") {
+    check_full_server(incomplete_body, true);
+}
+
+TEST_CASE("incomplete heads leave room for an ordinary request", "[process]") {
+    check_full_server("GET /fitting/ HTTP/1.1\r\nX-Filler: x", true);
+}
+
 }  // namespace
 }  // namespace baobabrack
