Pause accepting while a process has no descriptors

Cause: the listening socket stays readable when accepting fails, and libevent reports each failure on standard error.

The test (no descriptors, 50 turns of the loop) failed with 50 reports and holds now; it also checks that the connection is served afterwards.

--- a/src/baobabrack/transport/http_server.cpp
+++ b/src/baobabrack/transport/http_server.cpp
@@ -40,6 +40,11 @@
     setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &buffer_bytes, sizeof buffer_bytes);
 }
 
+// Without descriptors, accepting would fail again at once. A sweep resumes it.
+void pause_accepting(evconnlistener* listener, void* /*http*/) {
+    evconnlistener_disable(listener);
+}
+
 }  // namespace
 
 struct http_responder::exchange {
@@ -128,6 +133,7 @@
     const auto descriptor = evhttp_bound_socket_get_fd(bound_socket_);
     set_listen_options(descriptor);
     port_ = local_port(descriptor);
+    evconnlistener_set_error_cb(evhttp_bound_socket_get_listener(bound_socket_), &pause_accepting);
 }
 
 void http_server::stop_accepting() {
@@ -158,17 +164,17 @@
 }
 
 void http_server::set_accepting(bool enabled) {
-    if (bound_socket_ == nullptr || accept_paused_ == !enabled) {
+    if (bound_socket_ == nullptr) {
         return;
     }
-    accept_paused_ = !enabled;
     auto* listener = evhttp_bound_socket_get_listener(bound_socket_);
     if (enabled) {
         evconnlistener_enable(listener);
-    } else {
+    } else if (!accept_paused_) {
         evconnlistener_disable(listener);
         ++counts_.accept_pauses;
     }
+    accept_paused_ = !enabled;
 }
 
 void http_server::erase_closed_connections() {
--- a/tests/transport/http_flow.tests.cpp
+++ b/tests/transport/http_flow.tests.cpp
@@ -1,5 +1,6 @@
 #include <event2/event.h>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include <catch2/catch.hpp>
@@ -202,6 +203,29 @@
     CHECK(test.limits->count(limit_cause::connections) >= 1);
 }
 
+std::size_t accept_warnings = 0;
+
+// Guards against a loop that does nothing but fail to accept a connection.
+TEST_CASE("accepting pauses while there are no descriptors", "[flow]") {
+    flow_fixture test;
+    http_server server{test.loop, {.limits = test.limits}, test.handler};
+    raw_client client{test.loop, server.port()};
+    rlimit usual{};
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &usual) == 0);
+    const rlimit none{.rlim_cur = 0, .rlim_max = usual.rlim_max};
+    accept_warnings = 0;
+    event_set_log_callback([](int /*severity*/, const char* /*text*/) { ++accept_warnings; });
+    setrlimit(RLIMIT_NOFILE, &none);
+    for (int turn = 0; turn < 50; ++turn) {
+        event_base_loop(test.loop.base(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
+    }
+    setrlimit(RLIMIT_NOFILE, &usual);
+    event_set_log_callback(nullptr);
+    CHECK(accept_warnings < 5);
+    client.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(run_until(test.loop, [&] { return occurrences(client.received(), "fine") == 1; }));
+}
+
 TEST_CASE("no address holds more than its share of a budget", "[flow]") {
     shared_budget budget{10, 6};
     CHECK(budget.take("a", 6));
