Survive messages that name more peers than there are sockets

A scheduler ended as soon as its peers' port had received pings or reports that named 1,023 different endpoints; one stranger with one connection suffices, and so would as many guards.

Cause: each named endpoint gets a socket of its own, ZeroMQ allows 1,023 of them, and the exception thrown for the next one left a callback of libevent. Nothing removed sockets of peers that had gone, and the tables of pings and of guard sessions had no limit either.

zmq_network now has a limit of 1,000 peers, or a quarter of the descriptors. A peer unused for 60 s makes room; otherwise further ones are counted (cause "peers") and messages to them dropped, so peers in use keep their place. Sessions (4,096) and pinged schedulers (256) are limited in the same way.

The tests (1,200 endpoints in pings and in reports; process lives, 64 MiB, 3,900 descriptors, an ordinary request is answered) failed on: the process was gone and the request got no response. They hold now.

--- a/src/baobabrack/transport/client_limits.cpp
+++ b/src/baobabrack/transport/client_limits.cpp
@@ -69,6 +69,8 @@
             return "requests";
         case limit_cause::connections:
             return "connections";
+        case limit_cause::peers:
+            return "peers";
     }
     return "bytes";
 }
--- a/src/baobabrack/transport/client_limits.hpp
+++ b/src/baobabrack/transport/client_limits.hpp
@@ -50,8 +50,10 @@
     requests,
     /// An idle connection was closed, because the connections are used up.
     connections,
+    /// A peer was not connected to, because the sockets for peers are used up.
+    peers,
 };
-constexpr std::size_t limit_causes = 5;
+constexpr std::size_t limit_causes = 6;
 
 /// @return the name used in logs and metrics
 std::string_view to_string(limit_cause cause);
--- a/src/baobabrack/transport/zmq_network.cpp
+++ b/src/baobabrack/transport/zmq_network.cpp
@@ -1,8 +1,10 @@
 #include "baobabrack/transport/zmq_network.hpp"
 
 #include <event2/event.h>
+#include <sys/resource.h>
 #include <zmq.h>
 
+#include <algorithm>
 #include <array>
 #include <stdexcept>
 
@@ -22,15 +24,36 @@
 constexpr int heartbeat_timeout_ms = 1500;
 // Maximum number of messages per loop iteration, so that other sockets are not starved.
 constexpr int receive_batch_size = 256;
+// A peer that was not used for this long makes room for another.
+constexpr duration peer_idle_time = std::chrono::seconds{60};
+// Fraction of the descriptors for connections to peers.
+constexpr std::size_t descriptor_fraction = 4;
+// Sockets of the context besides those of peers.
+constexpr std::size_t own_sockets = 8;
 
 void set_option(const zmq_socket& socket, int option, int value) {
     zmq_setsockopt(socket.get(), option, &value, sizeof value);
 }
 
+// Returns the limit, or less if the process may not open as many descriptors.
+std::size_t limit_by_descriptors(std::size_t limit) {
+    rlimit descriptors{};
+    if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0) {
+        return limit;
+    }
+    return std::min(limit, static_cast<std::size_t>(descriptors.rlim_cur) / descriptor_fraction);
+}
+
+zmq_network::options with_descriptor_limits(zmq_network::options options) {
+    options.max_peers = limit_by_descriptors(options.max_peers);
+    return options;
+}
+
+// Returns null if the context or the process has no more sockets.
 zmq_socket open_socket(const zmq_context& context, int type, int queue_limit) {
     zmq_socket socket{::zmq_socket(context.get(), type)};
     if (!socket) {
-        throw std::runtime_error("cannot open a ZeroMQ socket (raise the limit of open files)");
+        return socket;
     }
     set_option(socket, ZMQ_LINGER, 0);
     set_option(socket, ZMQ_SNDHWM, queue_limit);
@@ -63,8 +86,16 @@
 }  // namespace
 
 zmq_network::zmq_network(event_runtime& loop, options opts)
-    : loop_(loop), options_(std::move(opts)), context_(zmq_ctx_new()), receive_timer_(loop) {
+    : loop_(loop),
+      options_(with_descriptor_limits(std::move(opts))),
+      context_(zmq_ctx_new()),
+      receive_timer_(loop) {
+    zmq_ctx_set(context_.get(), ZMQ_MAX_SOCKETS,
+                static_cast<int>(options_.max_peers + own_sockets));
     router_ = open_socket(context_, ZMQ_ROUTER, options_.queue_limit);
+    if (!router_) {
+        throw std::runtime_error("cannot open a ZeroMQ socket (raise the limit of open files)");
+    }
     // Lets a restarted process reuse its id while its previous connection is not closed yet.
     set_option(router_, ZMQ_ROUTER_HANDOVER, 1);
     zmq_setsockopt(router_.get(), ZMQ_MAXMSGSIZE, &options_.max_message_bytes,
@@ -92,9 +123,19 @@
 void zmq_network::connect(const std::string& peer, const std::string& endpoint) {
     const auto found = peers_.find(peer);
     if (found != peers_.end() && found->second.endpoint == endpoint) {
+        found->second.last_used = loop_.now();
+        return;
+    }
+    disconnect(peer);
+    auto socket = has_room_for_peer() ? open_socket(context_, ZMQ_DEALER, options_.queue_limit)
+                                      : zmq_socket{};
+    if (!socket) {
+        ++counts_.refused_peers;
+        if (options_.limits != nullptr) {
+            options_.limits->record(limit_cause::peers, endpoint, loop_.now());
+        }
         return;
     }
-    auto socket = open_socket(context_, ZMQ_DEALER, options_.queue_limit);
     zmq_setsockopt(socket.get(), ZMQ_ROUTING_ID, options_.id.data(), options_.id.size());
     // Messages are not queued while disconnected: they would be stale after the reconnect.
     set_option(socket, ZMQ_IMMEDIATE, 1);
@@ -103,10 +144,21 @@
     set_option(socket, ZMQ_RECONNECT_IVL, reconnect_interval_ms);
     set_option(socket, ZMQ_RECONNECT_IVL_MAX, max_reconnect_interval_ms);
     if (zmq_connect(socket.get(), endpoint.c_str()) != 0) {
-        disconnect(peer);
         return;
     }
-    peers_.insert_or_assign(peer, peer_socket{.endpoint = endpoint, .socket = std::move(socket)});
+    peers_.insert_or_assign(
+        peer,
+        peer_socket{.endpoint = endpoint, .socket = std::move(socket), .last_used = loop_.now()});
+}
+
+// Messages name the peers to connect to, so any number of them could be named.
+bool zmq_network::has_room_for_peer() {
+    if (peers_.size() >= options_.max_peers) {
+        std::erase_if(peers_, [this](const auto& entry) {
+            return loop_.now() - entry.second.last_used > peer_idle_time;
+        });
+    }
+    return peers_.size() < options_.max_peers;
 }
 
 void zmq_network::disconnect(const std::string& peer) {
@@ -119,6 +171,7 @@
         ++counts_.unsent;
         return;
     }
+    found->second.last_used = loop_.now();
     const auto payload = message.SerializeAsString();
     if (zmq_send(found->second.socket.get(), payload.data(), payload.size(), ZMQ_DONTWAIT) < 0) {
         ++counts_.unsent;
--- a/src/baobabrack/transport/zmq_network.hpp
+++ b/src/baobabrack/transport/zmq_network.hpp
@@ -4,10 +4,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 
 #include "baobabrack/membership/peer_network.hpp"
 #include "baobabrack/runtime/scoped_timer.hpp"
+#include "baobabrack/transport/client_limits.hpp"
 #include "baobabrack/transport/event_handles.hpp"
 #include "baobabrack/transport/zmq_handles.hpp"
 
@@ -27,6 +29,10 @@
         /// Maximum number of queued messages per peer and direction; further ones are dropped.
         int queue_limit = 4096;
         std::int64_t max_message_bytes = 8LL << 20;
+        /// Peers that messages are sent to; the limit of open descriptors may allow fewer.
+        std::size_t max_peers = 1000;
+        /// Counts and logs limited peers; may be null.
+        std::shared_ptr<client_limits> limits;
     };
 
     /// Counts of received, sent and dropped messages.
@@ -37,6 +43,8 @@
         std::uint64_t sent = 0;
         std::uint64_t sent_bytes = 0;
         std::uint64_t unsent = 0;
+        /// Peers that were not connected for want of sockets.
+        std::uint64_t refused_peers = 0;
     };
 
     /// Binds the endpoint. Throws std::runtime_error, whose message suggests a remedy, on failure.
@@ -56,9 +64,11 @@
     struct peer_socket {
         std::string endpoint;
         zmq_socket socket;
+        time_point last_used;
     };
 
     static void handle_readable(int descriptor, short what, void* self);
+    bool has_room_for_peer();
     void receive_batch();
     void handle_message(const std::string& sender, const void* data, std::size_t size);
 
--- a/src/baobabrack/workload/guard_sessions.cpp
+++ b/src/baobabrack/workload/guard_sessions.cpp
@@ -16,6 +16,11 @@
 // guard's own counter.
 constexpr unsigned term_shift = 24;
 constexpr unsigned session_shift = 12;
+// Any number of hosts could be named by messages. Each guard needs descriptors of this process, of
+// which it has fewer.
+constexpr std::size_t max_sessions = 4096;
+// A guard that is silent for this long makes room for another.
+constexpr duration session_retention = std::chrono::seconds{60};
 
 }  // namespace
 
@@ -35,6 +40,9 @@
 
 const worker_report* guard_sessions::accept_report(const wire::WorkloadReport& message,
                                                    time_point now) {
+    if (find(host_id{message.host()}) == nullptr && !has_room(now)) {
+        return nullptr;
+    }
     auto& current = sessions_[host_id{message.host()}];
     if (is_new_process(current, message.guard_incarnation(), now)) {
         current = {};
@@ -59,6 +67,15 @@
     return &current.report;
 }
 
+bool guard_sessions::has_room(time_point now) {
+    if (sessions_.size() >= max_sessions) {
+        std::erase_if(sessions_, [now](const auto& entry) {
+            return now - entry.second.last_heard >= session_retention;
+        });
+    }
+    return sessions_.size() < max_sessions;
+}
+
 const worker_report* guard_sessions::find(const host_id& host) const {
     const auto found = sessions_.find(host);
     return found == sessions_.end() ? nullptr : &found->second.report;
--- a/src/baobabrack/workload/guard_sessions.hpp
+++ b/src/baobabrack/workload/guard_sessions.hpp
@@ -61,6 +61,7 @@
         worker_report report;
     };
 
+    bool has_room(time_point now);
     bool is_new_process(const session& known, std::uint64_t incarnation, time_point now) const;
 
     std::map<host_id, session> sessions_;
--- a/src/baobabrack/workload/peer_pings.cpp
+++ b/src/baobabrack/workload/peer_pings.cpp
@@ -13,6 +13,8 @@
 constexpr duration peer_timeout = 700ms;
 // A peer that has been silent for this long receives no more pings.
 constexpr duration peer_retention = 30s;
+// Any number of schedulers could be named by messages.
+constexpr std::size_t max_peers = 256;
 
 }  // namespace
 
@@ -48,11 +50,23 @@
 }
 
 void peer_pings::handle(const wire::WorkloadPing& message) {
+    if (!peers_.contains(message.zmq_endpoint()) && !has_room()) {
+        return;
+    }
     peers_[message.zmq_endpoint()] = {.last_heard = loop_.now(),
                                       .term = message.term(),
                                       .store_available = message.store_answers()};
 }
 
+bool peer_pings::has_room() {
+    if (peers_.size() >= max_peers) {
+        std::erase_if(peers_, [this](const auto& entry) {
+            return loop_.now() - entry.second.last_heard >= peer_retention;
+        });
+    }
+    return peers_.size() < max_peers;
+}
+
 bool peer_pings::is_alive(const std::string& endpoint) const {
     const auto found = peers_.find(endpoint);
     return found != peers_.end() && loop_.now() - found->second.last_heard < peer_timeout;
--- a/src/baobabrack/workload/peer_pings.hpp
+++ b/src/baobabrack/workload/peer_pings.hpp
@@ -61,6 +61,8 @@
     std::optional<std::string> find_peer_with_store() const;
 
 private:
+    bool has_room();
+
     struct peer_state {
         time_point last_heard{};
         std::uint64_t term = 0;
--- /dev/null
+++ b/tests/untrusted_clients/peers.tests.cpp
@@ -0,0 +1,71 @@
+// Strangers at the port that serves the other processes of the system.
+#include <catch2/catch.hpp>
+
+#include "baobabrack/peer.pb.h"
+#include "baobabrack/transport/event_runtime.hpp"
+#include "baobabrack/transport/zmq_network.hpp"
+#include "untrusted_clients/crowd.hpp"
+#include "untrusted_clients/daemon_process.hpp"
+
+namespace baobabrack {
+namespace {
+
+using testing::scheduler_process;
+using namespace std::chrono_literals;
+
+constexpr std::size_t max_memory = 64UL << 20U;
+// 4,100 descriptors of the smallest machine, less 200 for files.
+constexpr std::size_t max_descriptors = 3900;
+
+const std::string ordinary_request =
+    "GET /fitting/ HTTP/1.1\r\nHost: fitting.example\r\nApi-Key: hall-key\r\n\r\n";
+
+// Sends messages as another process of the system does, and gives the receiver time to act on them.
+void send_messages(const http_endpoint& to, const std::vector<wire::PeerMessage>& messages) {
+    event_runtime loop{1};
+    zmq_network network{loop, {.id = "stranger", .endpoint = "tcp://127.0.0.1:*"}};
+    network.connect("receiver", "tcp://" + to.host + ":" + std::to_string(to.port));
+    loop.schedule(500ms, [&] {
+        for (const auto& message : messages) {
+            network.send("receiver", message);
+        }
+    });
+    loop.schedule(2s, [&] { loop.stop(); });
+    loop.run();
+}
+
+// Guards against a socket for each process that a message names.
+TEST_CASE("messages that name many schedulers are survived", "[peers]") {
+    scheduler_process scheduler;
+    std::vector<wire::PeerMessage> messages(1200);
+    for (std::size_t i = 0; i < messages.size(); ++i) {
+        auto& ping = *messages[i].mutable_workload_ping();
+        ping.set_scheduler("s" + std::to_string(i));
+        ping.set_zmq_endpoint("tcp://127.0.0.9:" + std::to_string(20'000 + i));
+    }
+    send_messages(scheduler.peers(), messages);
+    CHECK(scheduler.process().is_running());
+    CHECK(scheduler.process().peak_memory() < max_memory);
+    CHECK(scheduler.process().descriptors() < max_descriptors);
+    CHECK(scheduler.status_of(ordinary_request) == 200);
+}
+
+TEST_CASE("reports that name many guards are survived", "[peers]") {
+    scheduler_process scheduler;
+    std::vector<wire::PeerMessage> messages(1200);
+    for (std::size_t i = 0; i < messages.size(); ++i) {
+        auto& report = *messages[i].mutable_workload_report();
+        report.set_host("h" + std::to_string(i));
+        report.set_zmq_endpoint("tcp://127.0.0.9:" + std::to_string(20'000 + i));
+        report.set_guard_incarnation(1);
+        report.set_sequence(1);
+    }
+    send_messages(scheduler.peers(), messages);
+    CHECK(scheduler.process().is_running());
+    CHECK(scheduler.process().peak_memory() < max_memory);
+    CHECK(scheduler.process().descriptors() < max_descriptors);
+    CHECK(scheduler.status_of(ordinary_request) == 200);
+}
+
+}  // namespace
+}  // namespace baobabrack
--- a/tests/workload/guard_sessions.tests.cpp
+++ b/tests/workload/guard_sessions.tests.cpp
@@ -71,3 +71,21 @@
     CHECK(sessions.all_lists_known({"h"}));
     CHECK_FALSE(sessions.all_lists_known({"h", "other"}));
 }
+
+TEST_CASE("Reports that name any number of hosts are accepted from a bounded number",
+          "[sessions]") {
+    guard_sessions sessions;
+    sessions.begin_term(5);
+    std::size_t accepted = 0;
+    for (int i = 0; i < 5000; ++i) {
+        auto report = make_report(7, 1);
+        report.set_host("h" + std::to_string(i));
+        accepted += sessions.accept_report(report, now) != nullptr ? 1 : 0;
+    }
+    CHECK(accepted == 4096);
+    auto known = make_report(7, 2);
+    known.set_host("h0");
+    CHECK(sessions.accept_report(known, now + 59s) != nullptr);
+    CHECK(sessions.accept_report(make_report(7, 1), now + 59s) == nullptr);
+    CHECK(sessions.accept_report(make_report(7, 1), now + 61s) != nullptr);
+}
