Limit the connections that strangers keep open to the peers' port

560 silent connections to the peers' port of a scheduler with 520 descriptors kept its callers out for 27 s: no call was answered until ZeroMQ's handshake timeout of 30 s.

Cause: the ROUTER socket accepts without a limit, and its connections share the descriptors with the HTTP servers.

--- a/src/baobabrack/membership/peer_network.hpp
+++ b/src/baobabrack/membership/peer_network.hpp
@@ -23,6 +23,9 @@
     /// Adds the address of a peer or replaces it.
     virtual void connect(const std::string& peer, const std::string& endpoint) = 0;
 
+    /// Prefers connections from the host of a peer to those of strangers.
+    virtual void expect(const std::string& /*endpoint*/) {}
+
     /// Removes a peer.
     virtual void disconnect(const std::string& peer) = 0;
 
--- a/src/baobabrack/transport/client_limits.hpp
+++ b/src/baobabrack/transport/client_limits.hpp
@@ -50,7 +50,7 @@
     requests,
     /// An idle connection was closed, because the connections are used up.
     connections,
-    /// A peer was not connected to, because the sockets for peers are used up.
+    /// A connection to the peers' port was closed, or a peer was not connected to.
     peers,
 };
 constexpr std::size_t limit_causes = 6;
--- a/src/baobabrack/transport/socket_info.cpp
+++ b/src/baobabrack/transport/socket_info.cpp
@@ -1,10 +1,13 @@
 #include "baobabrack/transport/socket_info.hpp"
 
 #include <arpa/inet.h>
+// The C library's own definition of tcp_info lacks the counts of bytes.
+#include <linux/tcp.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <array>
+#include <cstddef>
 
 namespace baobabrack {
 
@@ -39,4 +42,14 @@
 
 // NOLINTEND(cppcoreguidelines-pro-type-reinterpret-cast)
 
+std::optional<std::uint64_t> received_bytes(int descriptor) {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+        size < offsetof(tcp_info, tcpi_bytes_received) + sizeof info.tcpi_bytes_received) {
+        return std::nullopt;
+    }
+    return info.tcpi_bytes_received;
+}
+
 }  // namespace baobabrack
--- a/src/baobabrack/workload/guard_directory.cpp
+++ b/src/baobabrack/workload/guard_directory.cpp
@@ -34,6 +34,14 @@
     return true;
 }
 
+const std::string* guard_directory::find_endpoint(std::string_view key) const {
+    if (!key.starts_with(guard_prefix)) {
+        return nullptr;
+    }
+    const auto found = endpoints_.find(std::string{key.substr(guard_prefix.size())});
+    return found == endpoints_.end() ? nullptr : &found->second;
+}
+
 void guard_directory::begin_term(time_point now) {
     last_heard_.clear();
     changed_.clear();
--- a/src/baobabrack/workload/guard_directory.hpp
+++ b/src/baobabrack/workload/guard_directory.hpp
@@ -24,6 +24,10 @@
     /// @return whether the record describes a guard
     bool apply(std::string_view key, std::string_view value, log_offset offset);
 
+    /// @param key key of a record
+    /// @return the ZeroMQ endpoint of the guard that the record describes, or null
+    const std::string* find_endpoint(std::string_view key) const;
+
     /// Starts a term as leader. Guards that do not report are removed after a timeout.
     void begin_term(time_point now);
 
--- a/src/baobabrack/workload/scheduler_node.cpp
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -107,6 +107,9 @@
         return;
     }
     if (guards_.apply(entry.record.key, entry.record.value, entry.offset)) {
+        if (const auto* endpoint = guards_.find_endpoint(entry.record.key)) {
+            deps_.network.expect(*endpoint);
+        }
         return;
     }
     jobs_.apply_progress(entry.record.key, entry.record.value, entry.offset);
--- a/tests/untrusted_clients/peers.tests.cpp
+++ b/tests/untrusted_clients/peers.tests.cpp
@@ -1,5 +1,8 @@
 // Strangers at the port that serves the other processes of the system.
+#include <sys/resource.h>
+
 #include <catch2/catch.hpp>
+#include <thread>
 
 #include "baobabrack/peer.pb.h"
 #include "baobabrack/transport/event_runtime.hpp"
@@ -10,6 +13,7 @@
 namespace baobabrack {
 namespace {
 
+using testing::crowd;
 using testing::scheduler_process;
 using namespace std::chrono_literals;
 
@@ -67,5 +71,22 @@
     CHECK(scheduler.status_of(ordinary_request) == 200);
 }
 
+// Guards against connections to peers that use up the descriptors of the other servers.
+TEST_CASE("silent connections of strangers leave descriptors for callers", "[peers]") {
+    constexpr rlim_t low_limit = 520;
+    rlimit usual{};
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &usual) == 0);
+    const rlimit low{.rlim_cur = low_limit, .rlim_max = usual.rlim_max};
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &low) == 0);
+    scheduler_process scheduler;
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &usual) == 0);
+    const crowd strangers{scheduler.peers(), {.connections = 560}};
+    // All of them must have been accepted.
+    std::this_thread::sleep_for(1s);
+    CHECK(scheduler.process().is_running());
+    CHECK(scheduler.process().descriptors() < low_limit);
+    CHECK(scheduler.status_of(ordinary_request) == 200);
+}
+
 }  // namespace
 }  // namespace baobabrack
