Bound incomplete messages from strangers at the peers' port

Cause: ZeroMQ allocates a message when its size is announced, up to 8 MiB for each connection, and queued up to 4,096 complete ones.

A scheduler now takes messages as large as a store record and 32 KiB more, since the largest is a submission that another scheduler forwards; a guard takes 4 MiB of orders, from 16 unproved connections. Queues hold 64 messages of one peer.

--- a/src/baobabrack/daemon/scheduler_program.cpp
+++ b/src/baobabrack/daemon/scheduler_program.cpp
@@ -33,6 +33,11 @@
 // Fraction of the maximum lease that a worker is granted; shorter leases release lost runs sooner.
 constexpr double lease_fraction = 0.6;
 constexpr std::uint32_t default_connection_limit = 2048;
+// Connections of guards and other schedulers.
+constexpr std::size_t max_peer_connections = 1000;
+// Messages for or from one peer; each peer sends a few a second.
+constexpr int peer_queue_limit = 64;
+constexpr std::uint64_t message_overhead_bytes = 32UL << 10U;
 
 duration from_ms(double milliseconds) {
     return std::chrono::duration_cast<duration>(
@@ -84,6 +89,11 @@
     return limits;
 }
 
+// The largest message of a peer is a submission that it forwards.
+std::int64_t max_message_bytes(const wire::SchedulerSettings& settings) {
+    return static_cast<std::int64_t>(limits_of(settings).record_bytes + message_overhead_bytes);
+}
+
 /// Replies 503 to every call: workers announce themselves to the guard on their host.
 class unavailable_handler : public http_handler {
 public:
@@ -103,8 +113,12 @@
           client_(loop_, {.connect_timeout = 700ms, .acknowledge_timeout = 1500ms}),
           store_(client_, to_endpoint(settings_.store()), limits_of(settings_), metrics_),
           config_(loop_, store_),
-          network_(loop_,
-                   {.id = settings.id(), .endpoint = settings_.zmq_endpoint(), .limits = limits_}),
+          network_(loop_, {.id = settings.id(),
+                           .endpoint = settings_.zmq_endpoint(),
+                           .queue_limit = peer_queue_limit,
+                           .max_message_bytes = max_message_bytes(settings_),
+                           .connections = {.max_connections = max_peer_connections},
+                           .limits = limits_}),
           node_(node_options(settings), {.loop = loop_,
                                          .log = store_,
                                          .network = network_,
--- a/src/baobabrack/daemon/worker_guard_program.cpp
+++ b/src/baobabrack/daemon/worker_guard_program.cpp
@@ -23,6 +23,14 @@
 
 // The seeds in the settings file may change without a signal.
 constexpr duration seed_poll_interval = 2s;
+// Connections to and from schedulers.
+constexpr std::size_t max_schedulers = 64;
+// Each may hold an incomplete message of the greatest size.
+constexpr std::size_t max_unproved_connections = 16;
+// Orders to start as many tasks as the largest worker has room for.
+constexpr std::int64_t max_orders_bytes = 4LL << 20U;
+// Messages for or from one scheduler.
+constexpr int peer_queue_limit = 64;
 
 http_server::options server_at(const std::string& address) {
     const auto endpoint = to_endpoint(address);
@@ -44,8 +52,14 @@
                           .connect_timeout = 500ms,
                           .acknowledge_timeout = 1500ms}),
           worker_(client_, to_endpoint(settings_.worker())),
-          network_(loop_,
-                   {.id = settings.id(), .endpoint = settings_.zmq_endpoint(), .limits = limits_}),
+          network_(loop_, {.id = settings.id(),
+                           .endpoint = settings_.zmq_endpoint(),
+                           .queue_limit = peer_queue_limit,
+                           .max_message_bytes = max_orders_bytes,
+                           .max_peers = max_schedulers,
+                           .connections = {.max_connections = max_schedulers,
+                                           .max_unproved = max_unproved_connections},
+                           .limits = limits_}),
           guard_({.host = workload::host_id{settings.id()},
                   .version = new_incarnation(),
                   .zmq_endpoint = settings_.zmq_endpoint(),
--- a/tests/untrusted_clients/peers.tests.cpp
+++ b/tests/untrusted_clients/peers.tests.cpp
@@ -1,6 +1,7 @@
 // Strangers at the port that serves the other processes of the system.
 #include <sys/resource.h>
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <thread>
 
@@ -14,16 +15,42 @@
 namespace {
 
 using testing::crowd;
+using testing::guard_process;
+using testing::process_peak;
 using testing::scheduler_process;
 using namespace std::chrono_literals;
 
 constexpr std::size_t max_memory = 64UL << 20U;
+constexpr std::size_t max_guard_memory = 96UL << 20U;
 // 4,100 descriptors of the smallest machine, less 200 for files.
 constexpr std::size_t max_descriptors = 3900;
+constexpr std::uint16_t peers_port = 7315;
+constexpr std::uint16_t guard_peers_port = 7325;
 
 const std::string ordinary_request =
     "GET /fitting/ HTTP/1.1\r\nHost: fitting.example\r\nApi-Key: hall-key\r\n\r\n";
 
+// Returns the beginning of a ZMTP 3.0 connection without encryption, up to and including the
+// client's READY command (https://rfc.zeromq.org/spec/23/).
+std::string handshake() {
+    std::string greeting{"\xff\0\0\0\0\0\0\0\0\x7f\x03\0NULL", 16};
+    greeting.resize(64, '\0');
+    const std::string body{
+        "\x05READY\x0bSocket-Type\0\0\0\x06"
+        "DEALER",
+        28};
+    return greeting + '\x04' + static_cast<char>(body.size()) + body;
+}
+
+// Returns a frame that lacks its last byte.
+std::string incomplete_frame(std::size_t bytes) {
+    std::string frame{'\x02'};
+    for (int shift = 56; shift >= 0; shift -= 8) {
+        frame += static_cast<char>(bytes >> static_cast<unsigned>(shift));
+    }
+    return frame + std::string(bytes - 1, 'x');
+}
+
 // Sends messages as another process of the system does, and gives the receiver time to act on them.
 void send_messages(const http_endpoint& to, const std::vector<wire::PeerMessage>& messages) {
     event_runtime loop{1};
@@ -88,5 +115,38 @@
     CHECK(scheduler.status_of(ordinary_request) == 200);
 }
 
+// Guards against memory for messages that are announced and never completed.
+TEST_CASE("incomplete messages of strangers are bounded", "[peers]") {
+    struct load {
+        std::size_t connections;
+        std::size_t frame_bytes;
+    };
+    const auto kind = GENERATE(load{.connections = 32, .frame_bytes = 4UL << 20U},
+                               load{.connections = 256, .frame_bytes = 256UL << 10U});
+    scheduler_process scheduler;
+    process_peak peak;
+    const auto text = handshake() + incomplete_frame(kind.frame_bytes);
+    crowd strangers{scheduler.peers(), {.connections = kind.connections, .max_bytes = text.size()}};
+    strangers.send(text,
+                   [&] { peak.sample(scheduler.process(), scheduler.socket_bytes(peers_port)); });
+    CHECK(scheduler.process().is_running());
+    CHECK(peak.memory < max_memory);
+    CHECK(peak.descriptors < max_descriptors);
+    CHECK(scheduler.status_of(ordinary_request) == 200);
+}
+
+TEST_CASE("incomplete messages of strangers to a guard are bounded", "[peers]") {
+    guard_process guard;
+    process_peak peak;
+    const auto text = handshake() + incomplete_frame(4UL << 20U);
+    crowd strangers{guard.peers(), {.connections = 64, .sends_once = true}};
+    strangers.send(text,
+                   [&] { peak.sample(guard.process(), guard.socket_bytes(guard_peers_port)); });
+    CHECK(guard.process().is_running());
+    CHECK(peak.memory < max_guard_memory);
+    CHECK(peak.descriptors < max_descriptors);
+    CHECK(guard.announcement_status() == 200);
+}
+
 }  // namespace
 }  // namespace baobabrack
