Bound the memory of accepted jobs

Cause: a job holds about 370 bytes for each task and two copies of its payload, and nothing limited the jobs. A request's size says nothing about the state that it creates.

The job table now sums up the estimated memory of its jobs by owner. A scheduler answers 503 with Retry-After to a submission beyond 48 MiB in all, 24 MiB for one workspace, so that none can keep the others out, or 6 MiB in submissions that are being stored. Before the refusal it reads the submissions to their end: an earlier call with the same id may have been stored by another scheduler, and then the refusal would be false.

--- a/src/baobabrack/daemon/scheduler_program.cpp
+++ b/src/baobabrack/daemon/scheduler_program.cpp
@@ -89,6 +89,14 @@
     return limits;
 }
 
+workload::job_memory_limits memory_limits(const wire::SchedulerSettings& settings) {
+    workload::job_memory_limits limits;
+    if (settings.max_job_bytes() > 0) {
+        limits.max_bytes = settings.max_job_bytes();
+    }
+    return limits;
+}
+
 // The largest message of a peer is a submission that it forwards.
 std::int64_t max_message_bytes(const wire::SchedulerSettings& settings) {
     return static_cast<std::int64_t>(limits_of(settings).record_bytes + message_overhead_bytes);
@@ -124,7 +132,8 @@
                                          .network = network_,
                                          .config = config_,
                                          .metrics = metrics_}),
-          frontend_({.max_key_age = key_limit()}, loop_, node_, config_, metrics_),
+          frontend_({.max_key_age = key_limit(), .memory = memory_limits(settings_)}, loop_, node_,
+                    config_, metrics_),
           callers_(frontend_),
           readiness_([this] { return ready(); }),
           metrics_handler_(metrics_, *limits_),
--- a/src/baobabrack/settings/settings_check.cpp
+++ b/src/baobabrack/settings/settings_check.cpp
@@ -136,6 +136,17 @@
     }
 }
 
+void check_job_memory(problems& found, std::uint64_t bytes) {
+    // A job of the greatest number of tasks takes 2 MB, and submissions an eighth of the memory.
+    constexpr std::uint64_t min_job_bytes = 24UL << 20U;
+    if (bytes != 0 && bytes < min_job_bytes) {
+        found.push_back({"scheduler.max_job_bytes",
+                         "expected at least " + std::to_string(min_job_bytes) + " bytes, got " +
+                             std::to_string(bytes),
+                         "choose a larger value, or leave the key out"});
+    }
+}
+
 void check_scheduler(problems& found, const wire::SchedulerSettings& scheduler) {
     check_address(found, "scheduler.listen", scheduler.listen());
     check_address(found, "scheduler.readiness", scheduler.readiness());
@@ -145,6 +156,7 @@
     check_zmq(found, "scheduler.zmq_endpoint", scheduler.zmq_endpoint());
     check_bounds(found, "scheduler.bounds", scheduler.bounds());
     check_evacuation_bound(found, "scheduler.bounds", scheduler.bounds());
+    check_job_memory(found, scheduler.max_job_bytes());
 }
 
 void check_worker_guard(problems& found, const wire::WorkerGuardSettings& guard) {
--- a/src/baobabrack/workload/job_frontend.cpp
+++ b/src/baobabrack/workload/job_frontend.cpp
@@ -184,11 +184,39 @@
         done(reply);
         return;
     }
+    if (!options_.memory.admits(spec, node_.jobs().memory(), unfinished_)) {
+        refuse_for_memory(id, caller, std::move(done));
+        return;
+    }
+    store(spec, caller, deadline, std::move(done));
+}
+
+// An earlier call with this id may have been stored by another scheduler, and then the refusal
+// would be wrong. The submissions are therefore read to their end first.
+void job_frontend::refuse_for_memory(const job_id& id, const caller_identity& caller,
+                                     reply_handler done) {
+    node_.refresh_jobs([this, id, caller, done = std::move(done)](bool /*complete*/) {
+        frontend_reply reply{.status = reply_status::not_now,
+                             .reason = "the memory for jobs is used up",
+                             .retry_after = max_retry_after};
+        if (const auto* known = node_.jobs().find(id)) {
+            reply = reply_to_repetition(*known, caller);
+        }
+        record_reply("submit", id, reply);
+        done(reply);
+    });
+}
+
+void job_frontend::store(const job_spec& spec, const caller_identity& caller, duration deadline,
+                         reply_handler done) {
     log_submission(spec);
+    unfinished_.add(spec);
     const auto started = loop_.now();
     node_.submit(
         spec, store_timeout(deadline),
-        [this, id, caller, started, done = std::move(done)](auto receipt) {
+        [this, spec, caller, started, done = std::move(done)](auto receipt) {
+            unfinished_.remove(spec);
+            const auto& id = spec.id;
             frontend_reply reply;
             const auto* stored = node_.jobs().find(id);
             if (receipt == intake_writer::receipt::not_stored) {
--- a/src/baobabrack/workload/job_frontend.hpp
+++ b/src/baobabrack/workload/job_frontend.hpp
@@ -6,6 +6,7 @@
 
 #include "baobabrack/workload/bounded_log.hpp"
 #include "baobabrack/workload/job_access.hpp"
+#include "baobabrack/workload/job_memory.hpp"
 #include "baobabrack/workload/scheduler_node.hpp"
 
 namespace baobabrack::workload {
@@ -59,6 +60,8 @@
         duration default_deadline = std::chrono::milliseconds{3000};
         /// Part of the deadline that is reserved for delivering the reply.
         duration deadline_margin = std::chrono::milliseconds{250};
+        /// Submissions above these limits are refused.
+        job_memory_limits memory;
     };
     using reply_handler = std::function<void(const frontend_reply&)>;
 
@@ -107,6 +110,9 @@
     bool config_is_recent() const;
     std::chrono::seconds retry_delay() const;
     duration store_timeout(duration deadline) const;
+    void refuse_for_memory(const job_id& id, const caller_identity& caller, reply_handler done);
+    void store(const job_spec& spec, const caller_identity& caller, duration deadline,
+               reply_handler done);
     job_access check_call(const std::string& call, const stored_job& job,
                           const caller_identity& caller);
     frontend_reply reply_to_repetition(const stored_job& job, const caller_identity& caller);
@@ -120,6 +126,8 @@
     scheduler_node& node_;
     const config_source& config_;
     metrics_registry& metrics_;
+    // Submissions that are being stored.
+    job_memory unfinished_;
     bounded_log rejections_;
     bounded_log foreign_calls_;
 };
--- a/src/baobabrack/workload/job_table.cpp
+++ b/src/baobabrack/workload/job_table.cpp
@@ -34,7 +34,9 @@
 
 job_id job_table::apply_submission(const job_id& id, std::string_view value) {
     if (value.empty()) {
-        jobs_.erase(id);
+        if (const auto removed = jobs_.extract(id); !removed.empty()) {
+            memory_.remove(removed.mapped().spec);
+        }
         return {};
     }
     // The first submission takes effect; later ones for the same id are repetitions.
@@ -53,6 +55,7 @@
     }
     auto& job = jobs_[id];
     job.spec = std::move(spec.value());
+    memory_.add(job.spec);
     job.cancelled = unmatched_cancels_.erase(id) > 0;
     if (const auto progress = unmatched_progress_.extract(id); !progress.empty()) {
         update_progress(job, progress.mapped());
--- a/src/baobabrack/workload/job_table.hpp
+++ b/src/baobabrack/workload/job_table.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "baobabrack/workload/job_memory.hpp"
 #include "baobabrack/workload/job_progress.hpp"
 
 namespace baobabrack::workload {
@@ -56,6 +57,9 @@
 
     const std::map<job_id, stored_job>& jobs() const { return jobs_; }
 
+    /// @return the estimated memory of all jobs
+    const job_memory& memory() const { return memory_; }
+
     /// @return the number of records that could not be parsed
     std::uint64_t unreadable_records() const { return unreadable_records_; }
 
@@ -66,6 +70,7 @@
     void update_progress(stored_job& job, std::string_view value);
 
     std::map<job_id, stored_job> jobs_;
+    job_memory memory_;
     // Records that were applied before the submission of their job.
     std::map<job_id, std::string> unmatched_progress_;
     std::map<job_id, bool> unmatched_cancels_;
--- a/tests/workload/job_frontend.tests.cpp
+++ b/tests/workload/job_frontend.tests.cpp
@@ -301,3 +301,34 @@
     CHECK(cluster.cancel_by("/open/", "new", "j") == reply_status::not_now);
     CHECK(cluster.submit_by("/open/", "new", "j") == reply_status::unclear);
 }
+
+// Small submissions of many tasks took all memory of a scheduler.
+TEST_CASE("Submissions beyond the memory for jobs are refused and never stored", "[frontend]") {
+    simulated_cluster cluster(6, {});
+    cluster.run_for(2s);
+    metrics_registry metrics;
+    const std::size_t max_bytes = 48UL << 20U;
+    job_frontend frontend({.memory = {.max_bytes = max_bytes}}, cluster.loop, *cluster.scheduler(0),
+                          cluster.config, metrics);
+    const auto submit = [&](const std::string& id) {
+        std::optional<frontend_reply> received;
+        frontend.submit(frontend.find_route(valid_request), job_of(id, 5000, 1), 3s,
+                        [&](const frontend_reply& answer) { received = answer; });
+        cluster.run_until([&] { return received.has_value(); }, 4s);
+        return received.value_or(frontend_reply{});
+    };
+    int accepted = 0;
+    while (submit("j" + std::to_string(accepted)).status == reply_status::accepted) {
+        ++accepted;
+        REQUIRE(accepted < 20);
+    }
+    CHECK(accepted >= 10);
+    const auto refused = submit("refused");
+    CHECK(refused.status == reply_status::not_now);
+    CHECK(refused.retry_after > 0s);
+    // A repetition of a stored submission is not a new job.
+    CHECK(submit("j0").status == reply_status::accepted);
+    cluster.run_for(1s);
+    CHECK(cluster.scheduler(0)->jobs().find(job_id{"refused"}) == nullptr);
+    CHECK(cluster.scheduler(0)->jobs().memory().total() <= max_bytes / 2);
+}
