Limit the deadline that a call may name to a minute

While the store did not answer, a call held its memory, its connection and a request of the server's budget until the deadline that its client had named, which could be years; 512 such calls of one address leave none for others.

It holds now.

--- a/src/baobabrack/workload/job_frontend.cpp
+++ b/src/baobabrack/workload/job_frontend.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::chrono::seconds min_retry_after{1};
 constexpr std::chrono::seconds max_retry_after{4};
+// A call holds memory and a request of the server's budget until its deadline.
+constexpr duration max_deadline = std::chrono::seconds{60};
 
 std::int64_t to_ms(duration span) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
@@ -151,7 +153,8 @@
 }
 
 duration job_frontend::store_timeout(duration deadline) const {
-    const auto total = deadline > duration::zero() ? deadline : options_.default_deadline;
+    const auto total =
+        deadline > duration::zero() ? std::min(deadline, max_deadline) : options_.default_deadline;
     return std::max(total - options_.deadline_margin, total / 2);
 }
 
--- a/tests/workload/job_frontend.tests.cpp
+++ b/tests/workload/job_frontend.tests.cpp
@@ -332,3 +332,19 @@
     CHECK(cluster.scheduler(0)->jobs().find(job_id{"refused"}) == nullptr);
     CHECK(cluster.scheduler(0)->jobs().memory().total() <= max_bytes / 2);
 }
+
+// Calls with a distant deadline held their memory while the store did not answer.
+TEST_CASE("A call ends within a minute whatever deadline it names", "[frontend]") {
+    simulated_cluster cluster(7, {});
+    cluster.run_for(2s);
+    metrics_registry metrics;
+    job_frontend frontend({}, cluster.loop, *cluster.scheduler(0), cluster.config, metrics);
+    for (unsigned index = 0; index < 3; ++index) {
+        cluster.store_link(index).active_faults.silent = true;
+    }
+    std::optional<frontend_reply> received;
+    frontend.submit(frontend.find_route(valid_request), job_of("j", 1, 1), 24h,
+                    [&](const frontend_reply& answer) { received = answer; });
+    cluster.run_for(61s);
+    CHECK(received.has_value());
+}
