--- a/tests/untrusted_clients/peers.tests.cpp
+++ b/tests/untrusted_clients/peers.tests.cpp
@@ -135,6 +135,25 @@
     CHECK(scheduler.status_of(ordinary_request) == 200);
 }
 
+// ZeroMQ keeps the parts of a message until the last one, without a limit.
+TEST_CASE("messages of endless parts are bounded", "[peers][known-red]") {
+    constexpr std::size_t part_bytes = 64UL << 10U;
+    scheduler_process scheduler;
+    process_peak peak;
+    std::string text = handshake();
+    for (int part = 0; part < 32; ++part) {
+        auto frame = incomplete_frame(part_bytes) + 'x';
+        frame[0] = '\x03';  // large, and more parts follow
+        text += frame;
+    }
+    crowd strangers{scheduler.peers(), {.connections = 64, .sends_once = true}};
+    strangers.send(text,
+                   [&] { peak.sample(scheduler.process(), scheduler.socket_bytes(peers_port)); });
+    CHECK(scheduler.process().is_running());
+    CHECK(peak.memory < max_memory);
+    CHECK(scheduler.status_of(ordinary_request) == 200);
+}
+
 TEST_CASE("incomplete messages of strangers to a guard are bounded", "[peers]") {
     guard_process guard;
     process_peak peak;
