--- a/review/rig-2/system.py
+++ b/review/rig-2/system.py
@@ -32,27 +32,14 @@
 
 
 def fill(template, fields):
-    """Fills in the placeholders and sections that the templates of this project use."""
+    """Fills in the placeholders that the templates of this project use."""
 
-    def find(path):
+    def value(match):
         found = fields
-        for part in path.split("."):
+        for part in match.group(1).split("."):
             found = found[int(part)] if isinstance(found, list) else found[part]
-        return found
-
-    def value(match):
-        found = find(match.group(1))
         return json.dumps(found) if match.group(2) else str(found)
 
-    def section(match):
-        # A section is left out where the value is absent; inside it {{.}} is the value.
-        try:
-            return match.group(2).replace("{{.}}", json.dumps(find(match.group(1))))
-        except KeyError:
-            return ""
-
-    template = re.sub(r"\{\{#([A-Za-z_.0-9]+)\}\}(.*?)\{\{/\1\}\}", section, template,
-                      flags=re.DOTALL)
     return re.sub(r"\{\{([A-Za-z_.0-9]+)(\|json)?\}\}", value, template)
 
 
--- a/review/rig/system.py
+++ b/review/rig/system.py
@@ -58,7 +58,7 @@
 
 
 def render(template, fields):
-    """Fills in a template of settings, which has placeholders and sections."""
+    """Fills in a template of settings; only plain placeholders occur in the two templates."""
 
     def value(path):
         at = fields
@@ -70,14 +70,6 @@
         path, _, form = match.group(1).partition("|")
         return json.dumps(value(path)) if form == "json" else str(value(path))
 
-    def section(match):
-        # A section is left out where the value is absent; inside it {{.}} is the value.
-        try:
-            return match.group(2).replace("{{.}}", json.dumps(value(match.group(1))))
-        except KeyError:
-            return ""
-
-    template = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.DOTALL)
     return re.sub(r"\{\{([^}]+)\}\}", replace, template)
 
 
