--- a/review/rig-3/web.py
+++ b/review/rig-3/web.py
@@ -44,10 +44,26 @@
     return status, json.dumps(value).encode(), "application/json"
 
 
+class Server:
+    """A server that resets its channels when it is closed, as a process does that is killed."""
+
+    def __init__(self):
+        self.server = None
+        self.writers = set()
+
+    def close(self):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
 async def serve(host, port, handle):
-    """Serves requests with `handle(request) -> (status, body, type)`, or None for no answer."""
+    """Serves requests with `handle(request, writer) -> (status, body, type)`, or None for no
+    answer."""
+    served = Server()
 
     async def channel(reader, writer):
+        served.writers.add(writer)
         try:
             while True:
                 message = await read_message(reader)
@@ -65,9 +81,11 @@
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            served.writers.discard(writer)
             writer.close()
 
-    return await asyncio.start_server(channel, host, port, limit=1 << 24)
+    served.server = await asyncio.start_server(channel, host, port, limit=1 << 24)
+    return served
 
 
 async def call(host, port, method, path, body=None, headers=None, timeout=3.0):
