--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,2 +1,5 @@
 #!/usr/bin/env bash
-cd "$(dirname "$0")" && exec python3 case.py
+# Plays the case. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+export PYTHONDONTWRITEBYTECODE=1
+exec python3 case.py
