Count a failed run once, whichever leaders receive its end

Cause: a guard reports the end of a run until it is acknowledged. If the lead changes after the effect was stored and before that, the next leader gets the end again. When the next run had been assigned in the same record, the end was one of an earlier run, and its failure was added to a plain count once more, by each leader in turn. Beside it, ends of an earlier run of a gang were counted at each member, since the check asked for the current run.

Change: the stored progress keeps the numbers of the failed runs, and attempts are their count, so that recording one again changes nothing. A gang keeps them at its first task. Records of the earlier version hold only a count; the end of an earlier run is taken for one that is included. The earlier version finds its count and latest run where it expects them.

--- a/src/baobabrack/workload/job_progress.cpp
+++ b/src/baobabrack/workload/job_progress.cpp
@@ -74,6 +74,35 @@
     record.set_trial_ms(to_ms(crashes.trial));
 }
 
+std::vector<run_number> failed_runs_of(const wire::WorkloadTask& task) {
+    std::vector<run_number> runs;
+    for (const auto run : task.failed_runs()) {
+        runs.emplace_back(run);
+    }
+    if (runs.empty() && task.failed_run() != 0) {
+        runs.emplace_back(task.failed_run());
+    }
+    return runs;
+}
+
+failure_record make_failure_record(std::vector<run_number> runs, std::uint32_t counted) {
+    const failure_record known(std::move(runs));
+    return failure_record(known.runs(), counted - std::min(counted, known.count()));
+}
+
+// Earlier versions count a failed run of a gang at one of the members that failed in it, and store
+// at each of these the latest run.
+failure_record merge_gang_failures(const wire::WorkloadStepProgress& stored) {
+    std::vector<run_number> runs;
+    std::uint32_t counted = 0;
+    for (const auto& task : stored.tasks()) {
+        const auto known = failed_runs_of(task);
+        runs.insert(runs.end(), known.begin(), known.end());
+        counted += task.failures();
+    }
+    return make_failure_record(std::move(runs), counted);
+}
+
 task_progress from_wire(const wire::WorkloadProgress& record, const wire::WorkloadTask& task) {
     auto phase = task_phase::waiting;
     if (task.phase() == wire::WorkloadTask::ASSIGNED) {
@@ -84,8 +113,7 @@
     return {.phase = phase,
             .run = run_number{task.run()},
             .place = place_of(record, task.place()),
-            .failures = task.failures(),
-            .failed_run = run_number{task.failed_run()},
+            .failures = make_failure_record(failed_runs_of(task), task.failures()),
             .checkpoint = task.checkpoint(),
             .crashes = from_wire(task.crashes()),
             .done_earlier = task.done_earlier()};
@@ -109,8 +137,13 @@
             break;
     }
     record.set_run(task.run.get());
-    record.set_failures(task.failures);
-    record.set_failed_run(task.failed_run.get());
+    record.set_failures(task.failures.count());
+    for (const auto run : task.failures.runs()) {
+        record.add_failed_runs(run.get());
+    }
+    if (!task.failures.runs().empty()) {
+        record.set_failed_run(task.failures.runs().back().get());
+    }
     record.set_done_earlier(task.done_earlier);
     if (detail == progress_detail::full) {
         record.set_checkpoint(task.checkpoint);
@@ -146,25 +179,19 @@
     return progress;
 }
 
-void count_failure(const step_spec& step, std::vector<task_progress>& tasks, task_progress& task,
-                   run_number run) {
-    if (!step.gang) {
-        ++task.failures;
-        return;
-    }
-    const bool counted = std::any_of(tasks.begin(), tasks.end(), [&](const task_progress& member) {
-        return member.failed_run == task.run;
-    });
-    task.failed_run = std::max(task.failed_run, run);
-    task.failures += counted ? 0 : 1;
+bool record_failure(const step_spec& step, std::vector<task_progress>& tasks, task_progress& task,
+                    run_number run) {
+    auto& holder = step.gang ? tasks.front() : task;
+    return !step.long_running && holder.failures.add(run, task.run);
 }
 
 std::uint32_t failed_attempts(const step_spec& step, const std::vector<task_progress>& tasks) {
-    std::uint32_t failures = 0;
+    std::uint32_t attempts = 0;
     for (const auto& task : tasks) {
-        failures = step.gang ? failures + task.failures : std::max(failures, task.failures);
+        const auto failed = task.failures.count();
+        attempts = step.gang ? attempts + failed : std::max(attempts, failed);
     }
-    return failures;
+    return attempts;
 }
 
 bool is_step_done(const step_spec& step, const std::vector<task_progress>& tasks) {
@@ -222,6 +249,12 @@
                 if (lasts && target[index].phase == task_phase::done) {
                     target[index].phase = task_phase::waiting;
                 }
+                if (spec.steps[step].gang) {
+                    target[index].failures = {};
+                }
+            }
+            if (spec.steps[step].gang && !target.empty()) {
+                target.front().failures = merge_gang_failures(stored.steps(static_cast<int>(step)));
             }
         }
         progress.occurrences.push_back(std::move(occurrence));
--- a/src/baobabrack/workload/job_progress.hpp
+++ b/src/baobabrack/workload/job_progress.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "baobabrack/workload/crash_record.hpp"
+#include "baobabrack/workload/failure_record.hpp"
 #include "baobabrack/workload/job_spec.hpp"
 
 namespace baobabrack::wire {
@@ -39,11 +40,8 @@
     /// The worker instance of the latest run. While the task waits: if that run was lost and its
     /// end has not arrived, else none.
     worker_instance place;
-    /// Number of runs that ended as failed. A failed run of a gang is counted at one of the members
-    /// that failed in it.
-    std::uint32_t failures = 0;
-    /// In a gang, the latest run that ended as failed here; zero if there is none.
-    run_number failed_run;
+    /// The runs that ended as failed. Those of a gang are kept at its first task.
+    failure_record failures;
     /// Latest checkpoint; empty if there is none.
     std::string checkpoint;
     crash_record crashes;
@@ -71,10 +69,12 @@
 /// @return an occurrence whose tasks are all waiting
 occurrence_progress new_occurrence(const job_spec& spec, std::uint32_t number);
 
-/// Counts the failure of a run of the task against the attempts of the step. All members of a gang
-/// may fail in the same run, which uses up one attempt.
-void count_failure(const step_spec& step, std::vector<task_progress>& tasks, task_progress& task,
-                   run_number run);
+/// Records that a run of the task has failed, unless the step has no limit of attempts. All members
+/// of a gang may fail in the same run, which uses up one attempt.
+///
+/// @return whether this was not known before
+bool record_failure(const step_spec& step, std::vector<task_progress>& tasks, task_progress& task,
+                    run_number run);
 
 /// @return how many attempts of the step have failed: of the gang, or of the task with the most
 std::uint32_t failed_attempts(const step_spec& step, const std::vector<task_progress>& tasks);
--- a/src/baobabrack/workload/scheduler_placement.cpp
+++ b/src/baobabrack/workload/scheduler_placement.cpp
@@ -149,7 +149,6 @@
                       .run = run,
                       .place = facts.instance,
                       .failures = ref->task->failures,
-                      .failed_run = ref->task->failed_run,
                       .checkpoint = group.spec->gang ? gang_checkpoint : ref->task->checkpoint,
                       .crashes = ref->task->crashes};
         *ref->state = {.stored_run = ref->state->stored_run,
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -128,7 +128,7 @@
     }
     if (end.outcome == run_outcome::failed) {
         ++counts_.failed;
-        count_failure(*ref->step, *ref->tasks, *ref->task, end.run);
+        record_failure(*ref->step, *ref->tasks, *ref->task, end.run);
         const auto after = now - ref->state->assigned_at;
         history.record_failure(end.task.step.job, after, now);
         if (run_history::is_quick_failure(after)) {
@@ -146,7 +146,7 @@
         ref.task->phase = ref.step->long_running ? task_phase::waiting : task_phase::done;
     } else if (end.outcome == run_outcome::failed) {
         ++counts_.failed;
-        count_failure(*ref.step, *ref.tasks, *ref.task, end.run);
+        record_failure(*ref.step, *ref.tasks, *ref.task, end.run);
     }
     if (!end.checkpoint.empty() && ref.step->checkpoints) {
         ref.task->checkpoint = end.checkpoint;
@@ -159,10 +159,15 @@
 
 // The run was taken for lost, and the next one was assigned before its end arrived. The end is
 // acknowledged like any other, so it must count: a task that is done must not start again.
+// Leaders before this one may have stored its effect, as guards repeat an end until then.
 void scheduler::apply_end_of_earlier_run(const ended_run& end, const task_ref& ref) {
     if (end.outcome == run_outcome::failed) {
+        if (!record_failure(*ref.step, *ref.tasks, *ref.task, end.run)) {
+            return;
+        }
         ++counts_.failed;
-        count_failure(*ref.step, *ref.tasks, *ref.task, end.run);
+    } else if (ref.task->done_earlier) {
+        return;
     } else if (end.outcome != run_outcome::done || ref.step->long_running) {
         return;
     } else if (ref.task->phase == task_phase::waiting) {
--- a/tests/workload/gang_attempts.tests.cpp
+++ b/tests/workload/gang_attempts.tests.cpp
@@ -131,3 +131,30 @@
     CHECK_FALSE(start_gang(fixture));
     CHECK(fixture.subject.open_jobs() == 0);
 }
+
+// Whether a run had been counted was decided by the current run, so that ends of an earlier one
+// were counted at each member.
+TEST_CASE("Late ends of a gang's earlier run use up one attempt, however often they arrive",
+          "[scheduler][gang-attempts]") {
+    const auto spec = gang_job();
+    job_progress progress{.phase = job_phase::active, .occurrences = {new_occurrence(spec, 0)}};
+    auto& tasks = progress.occurrences.front().steps.front();
+    scheduler_fixture fixture;
+    fixture.add_worker("h1");
+    fixture.add_worker("h2");
+    for (auto& task : tasks) {
+        task.phase = task_phase::assigned;
+        task.run = run_number{2};
+        task.place = fixture.reports["h2"].facts.instance;
+    }
+    fixture.subject.add_job({.spec = spec, .progress = progress, .cancelled = false}, fixture.now);
+    for (std::uint32_t index = 0; index < members; ++index) {
+        const task_name name{.step = {.job = spec.id}, .index = index};
+        fixture.reports["h2"].runs.push_back({.task = name, .run = run_number{2}, .percent = 1});
+        fixture.end_run("h1", name, run_number{1}, run_outcome::failed);
+    }
+    fixture.run_pass();
+    const auto batch = fixture.subject.drain_batch(true);
+    CHECK(fixture.subject.open_jobs() == 1);
+    CHECK(fixture.run_count("h2") == members);
+}
--- a/tests/workload/job_table.tests.cpp
+++ b/tests/workload/job_table.tests.cpp
@@ -103,13 +103,13 @@
     task = {.phase = task_phase::assigned,
             .run = run_number{4},
             .place = {.host = host_id{"h"}, .worker = worker_id{"w"}, .version = incarnation{7}},
-            .failures = 2,
+            .failures = failure_record({run_number{1}, run_number{3}}),
             .checkpoint = "c"};
     const auto parsed_progress = from_wire(spec, to_wire(progress));
     const auto& read = parsed_progress.occurrences.front().steps.front().front();
     CHECK(read.place == task.place);
     CHECK(read.run == task.run);
-    CHECK(read.failures == 2);
+    CHECK(read.failures == task.failures);
     CHECK(read.checkpoint == "c");
 }
 
--- a/tests/workload/late_ends.tests.cpp
+++ b/tests/workload/late_ends.tests.cpp
@@ -125,3 +125,52 @@
     CHECK(fixture.subject.counts().started == 2);
     CHECK(fixture.subject.open_jobs() == 0);
 }
+
+// A guard repeats an end until it is acknowledged, so a leader that takes over may receive one
+// whose failure its predecessor has stored. It used up another attempt (review/11).
+TEST_CASE(
+    "A failure that an earlier leader has stored is not counted again after the next run was "
+    "assigned",
+    "[scheduler][late-ends]") {
+    scheduler_fixture fixture;
+    fixture.add_worker("h1");
+    fixture.add_worker("h2");
+    auto job = job_of("j", 1, 8);
+    job.most_attempts = 3;
+    fixture.submit(job);
+    job_progress stored;
+    const auto change_leader = [&] {
+        const auto batch = fixture.subject.drain_batch(true);
+        for (const auto& change : batch.changes) {
+            stored = from_wire(job, to_wire(change.progress));
+        }
+        fixture.subject = scheduler(scheduler::options{});
+        fixture.subject.load({}, fixture.now, fixture.now);
+        fixture.subject.add_job({.spec = job, .progress = stored, .cancelled = false}, fixture.now);
+    };
+    const auto active_host = [&] { return std::string{fixture.run_count("h1") > 0 ? "h1" : "h2"}; };
+    fixture.run_pass();
+    fixture.end_all(active_host(), run_outcome::failed);
+    // The end is handled by three leaders in turn, none of which lives to acknowledge it.
+    for (int leader = 0; leader < 3; ++leader) {
+        for (auto& [host, report] : fixture.reports) {
+            fixture.subject.handle_report(report, fixture.now);
+        }
+        fixture.subject.decide(&fixture.config, fixture.now, fixture.wall_now);
+        change_leader();
+    }
+    fixture.now += 10s;
+    fixture.wall_now += 10s;
+    fixture.run_pass();
+    fixture.run_pass();
+    REQUIRE(fixture.subject.open_jobs() == 1);
+    fixture.end_all(active_host(), run_outcome::failed);
+    fixture.run_pass();
+    CHECK(fixture.subject.open_jobs() == 1);
+    fixture.now += 10s;
+    fixture.wall_now += 10s;
+    fixture.run_pass();
+    fixture.end_all(active_host(), run_outcome::failed);
+    fixture.run_pass();
+    CHECK(fixture.subject.open_jobs() == 0);
+}
--- a/tests/workload/scheduler.tests.cpp
+++ b/tests/workload/scheduler.tests.cpp
@@ -897,7 +897,7 @@
     CHECK(second.subject.open_jobs() == 1);
     const auto changes = second.subject.drain_batch(true).changes;
     const auto& progress = changes.empty() ? stored : changes.front().progress;
-    CHECK(progress.occurrences[0].steps[0][0].failures == 1);
+    CHECK(progress.occurrences[0].steps[0][0].failures.count() == 1);
 }
 
 TEST_CASE("Preemption on a worker that is over its capacity frees enough at once",
