Keep the orders to a guard within what it takes

Cause: the leader put all starts that a guard had not reported into one message, with their payloads: 6,038,878 bytes in the test, where the guard takes 4,194,304. The guard's socket closes a connection that sends more, so it got no orders at all any more, while its reports kept arriving.

Change: one constant is the limit of both sides. Orders hold the needs of runs first, then stops, then starts. Starts take 256 KiB and leave at most 64 unanswered by the worker, as more would wait for connections until their calls time out; the rest follow in the answers to the guard's next reports. Workspaces take turns, and within one its jobs.

--- a/src/baobabrack/daemon/worker_guard_program.cpp
+++ b/src/baobabrack/daemon/worker_guard_program.cpp
@@ -11,6 +11,7 @@
 #include "baobabrack/transport/event_runtime.hpp"
 #include "baobabrack/transport/http_client.hpp"
 #include "baobabrack/transport/zmq_network.hpp"
+#include "baobabrack/workload/message_limits.hpp"
 #include "baobabrack/workload/worker_guard.hpp"
 #include "platform/announcements_api.hpp"
 #include "platform/worker_client.hpp"
@@ -27,8 +28,6 @@
 constexpr std::size_t max_schedulers = 64;
 // Each may hold an incomplete message of the greatest size.
 constexpr std::size_t max_unproved_connections = 16;
-// Orders to start as many tasks as the largest worker has room for.
-constexpr std::int64_t max_orders_bytes = 4LL << 20U;
 // Messages for or from one scheduler.
 constexpr int peer_queue_limit = 64;
 
@@ -55,7 +54,7 @@
           network_(loop_, {.id = settings.id(),
                            .endpoint = settings_.zmq_endpoint(),
                            .queue_limit = peer_queue_limit,
-                           .max_message_bytes = max_orders_bytes,
+                           .max_message_bytes = workload::max_orders_bytes,
                            .max_peers = max_schedulers,
                            .connections = {.max_connections = max_schedulers,
                                            .max_unproved = max_unproved_connections},
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -14,6 +14,7 @@
 #include "baobabrack/workload/crash_record.hpp"
 #include "baobabrack/workload/job_table.hpp"
 #include "baobabrack/workload/lost_work.hpp"
+#include "baobabrack/workload/order_selection.hpp"
 #include "baobabrack/workload/preemption.hpp"
 #include "baobabrack/workload/progress_batch.hpp"
 #include "baobabrack/workload/progress_rate.hpp"
@@ -51,6 +52,7 @@
         double remote_penalty = 3;
         /// What the progress record of a job may have, in bytes.
         std::size_t max_progress_bytes = 262'144;
+        order_limits orders;
     };
 
     explicit scheduler(options opts) : options_(opts) {}
@@ -98,8 +100,8 @@
     /// Marks the changes of a batch as stored.
     void mark_stored(const progress_batch& batch);
 
-    /// @return the runs to start and to stop on the worker, based on its latest report. None starts
-    ///         in an evacuated data centre.
+    /// @return the runs to start and to stop on the worker, based on its latest report, as far as
+    ///         `options::orders` allows. None starts in an evacuated data centre.
     worker_orders orders_for(const worker_report& report);
 
     /// @return the hosts whose orders may have changed since the last call
--- a/src/baobabrack/workload/scheduler_orders.cpp
+++ b/src/baobabrack/workload/scheduler_orders.cpp
@@ -17,7 +17,10 @@
         return orders;
     }
     std::set<std::pair<task_name, run_number>> listed;
+    std::vector<start_candidate> starts;
+    std::size_t pending_starts = 0;
     for (const auto& run : report.runs) {
+        pending_starts += run.begun ? 0 : 1;
         listed.emplace(run.task, run.run);
         const auto ref = run.needs_unknown ? find(run.task) : std::nullopt;
         if (ref) {
@@ -34,8 +37,7 @@
     }
     std::set<std::pair<task_name, run_number>> wanted;
     const bool evacuated = evacuated_.contains(report.facts.data_centre);
-    const auto runs = runs_by_host_.find(instance.host);
-    for (const auto& name : runs == runs_by_host_.end() ? std::set<task_name>{} : runs->second) {
+    for (const auto& name : runs_by_host_[instance.host]) {
         const auto ref = find(name);
         if (!ref || ref->task->phase != task_phase::assigned || ref->task->place != instance) {
             continue;
@@ -51,12 +53,8 @@
         wanted.insert(id);
         const bool stored = ref->state->stored_run == ref->task->run;
         if (stored && !evacuated && !listed.contains(id) && !finished.contains(id)) {
-            orders.starts.push_back({.task = name,
-                                     .run = ref->task->run,
-                                     .payload = ref->job->spec.payload,
-                                     .checkpoint = ref->task->checkpoint,
-                                     .needs = ref->step->per_task,
-                                     .confirm_worker = ref->task->crashes != crash_record{}});
+            starts.push_back(
+                {.job = &ref->job->spec, .step = ref->step, .task = ref->task, .name = name});
         }
     }
     for (const auto& run : report.runs) {
@@ -65,6 +63,7 @@
             orders.stops.push_back({.task = run.task, .run = run.run});
         }
     }
+    select_orders(orders, std::move(starts), pending_starts, options_.orders);
     return orders;
 }
 
