Find the runs of a worker by key

A guard with thousands of runs on its worker was busy for seconds with each report, on a machine of a whole core, and so late with the worker's lease.

Cause: whether a run is listed or has ended was looked up by going through the lists, for each start of each report and for each check of the room on the worker. Each start also kept its payload until the run ended: 40 MB for 10,000 runs of 4,000 bytes.

Change: the lists are indexed by key, the sum of what the runs need is kept until they change, and a payload is dropped once its run is listed. A run that was listed and is then in neither list is refused rather than sent again, as its payload is gone and the worker would reject it.

--- a/src/baobabrack/workload/guarded_runs.cpp
+++ b/src/baobabrack/workload/guarded_runs.cpp
@@ -4,20 +4,25 @@
 
 namespace baobabrack::workload {
 
-void guarded_runs::clear() {
-    *this = {};
+namespace {
+
+template <typename Run>
+std::set<run_key> keys_of(const std::vector<Run>& runs) {
+    std::set<run_key> keys;
+    for (const auto& run : runs) {
+        keys.emplace(run.task, run.run);
+    }
+    return keys;
 }
 
-bool guarded_runs::is_listed(const run_key& key) const {
-    return std::any_of(runs_.begin(), runs_.end(), [&](const reported_run& run) {
-        return run_key{run.task, run.run} == key;
-    });
+}  // namespace
+
+void guarded_runs::clear() {
+    *this = {};
 }
 
 bool guarded_runs::has_ended(const run_key& key) const {
-    return std::any_of(ends_.begin(), ends_.end(), [&](const ended_run& end) {
-        return run_key{end.task, end.run} == key;
-    });
+    return ended_.contains(key);
 }
 
 bool guarded_runs::may_have(const run_key& key) const {
@@ -34,28 +39,43 @@
     return !may_have(key) && !may_have_ended(key) && !refusals_.contains(key);
 }
 
-bool guarded_runs::fits(const resources& needs, const resources& capacity) const {
-    resources used = needs;
-    for (const auto& [key, start] : starts_) {
-        if (!has_ended(key)) {
-            used.add(start.run.needs);
+resources guarded_runs::used() const {
+    if (!used_) {
+        used_.emplace();
+        for (const auto& [key, start] : starts_) {
+            if (!has_ended(key)) {
+                used_->add(start.run.needs);
+            }
+        }
+        for (const auto& [key, inherited_needs] : inherited_) {
+            used_->add(inherited_needs);
         }
     }
-    for (const auto& [key, inherited_needs] : inherited_) {
-        used.add(inherited_needs);
-    }
-    return capacity.can_fit(used);
+    return *used_;
+}
+
+bool guarded_runs::fits(const resources& needs, const resources& capacity) const {
+    auto total = used();
+    total.add(needs);
+    return capacity.can_fit(total);
 }
 
 void guarded_runs::record_needs(const run_needs& known) {
     const run_key key{known.task, known.run};
     if (is_listed(key) && !starts_.contains(key)) {
         inherited_[key] = known.needs;
+        used_.reset();
     }
 }
 
 void guarded_runs::record_start(const start_order& run, unsigned attempts) {
-    starts_[{run.task, run.run}] = {.run = run, .attempts = attempts, .deciding_renewal = 0};
+    const auto [start, added] = starts_.insert_or_assign(
+        {run.task, run.run}, started_run{.run = run, .attempts = attempts, .deciding_renewal = 0});
+    if (used_ && added && !has_ended(start->first)) {
+        used_->add(run.needs);
+    } else {
+        used_.reset();
+    }
 }
 
 std::optional<guarded_runs::lost_start> guarded_runs::withdraw_start(const run_key& key) {
@@ -63,6 +83,7 @@
     if (found.empty()) {
         return std::nullopt;
     }
+    used_.reset();
     return lost_start{.run = std::move(found.mapped().run), .attempts = found.mapped().attempts};
 }
 
@@ -84,7 +105,9 @@
 }
 
 void guarded_runs::record_refusal(const run_key& key, std::string reason) {
-    starts_.erase(key);
+    if (starts_.erase(key) > 0) {
+        used_.reset();
+    }
     refusals_[key] = {.reason = std::move(reason), .first_report = 0};
 }
 
@@ -96,9 +119,18 @@
     ends_ = lists.ends;
     lists_incomplete_ = lists.incomplete;
     std::erase_if(ends_, [&](const ended_run& end) { return end.sequence <= ends_stored; });
+    listed_ = keys_of(runs_);
+    ended_ = keys_of(ends_);
+    used_.reset();
     std::erase_if(inherited_, [&](const auto& entry) { return !is_listed(entry.first); });
     lists_known_ = true;
     lists_seen_ = true;
+    for (auto& [key, start] : starts_) {
+        if (is_listed(key)) {
+            start.was_listed = true;
+            start.run.payload = {};
+        }
+    }
     std::erase_if(starts_, [&](const auto& entry) {
         const auto& [key, start] = entry;
         const bool decided = start.deciding_renewal > 0 && start.deciding_renewal <= renewal;
@@ -108,8 +140,9 @@
         }
         changes.report_needed = true;
         if (!has_ended(key)) {
-            changes.lost_starts.push_back(
-                {.run = start.run, .attempts = start.attempts, .outdated = start.outdated});
+            changes.lost_starts.push_back({.run = start.run,
+                                           .attempts = start.attempts,
+                                           .outdated = start.outdated || start.was_listed});
         }
         return true;
     });
--- a/src/baobabrack/workload/guarded_runs.hpp
+++ b/src/baobabrack/workload/guarded_runs.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,7 +25,7 @@
         start_order run;
         /// Number of attempts so far.
         unsigned attempts = 0;
-        /// The worker rejects the run for good, so another attempt is pointless.
+        /// The worker has had the run, or rejects it for good, so another attempt is pointless.
         bool outdated = false;
     };
 
@@ -127,6 +128,8 @@
         std::uint64_t deciding_renewal = 0;
         bool accepted = false;
         bool outdated = false;
+        /// The payload is not kept from then on.
+        bool was_listed = false;
     };
     struct refusal {
         std::string reason;
@@ -134,16 +137,22 @@
         std::uint64_t first_report = 0;
     };
 
-    bool is_listed(const run_key& key) const;
+    bool is_listed(const run_key& key) const { return listed_.contains(key); }
+    resources used() const;
 
     bool lists_known_ = false;
     bool lists_seen_ = false;
     bool lists_incomplete_ = false;
     std::vector<reported_run> runs_;
     std::vector<ended_run> ends_;
+    // The same by key.
+    std::set<run_key> listed_;
+    std::set<run_key> ended_;
     std::map<run_key, started_run> starts_;
     // Listed runs that an earlier guard has started.
     std::map<run_key, resources> inherited_;
+    // What all known runs need; empty if it has to be added up again.
+    mutable std::optional<resources> used_;
     std::map<run_key, refusal> refusals_;
     std::uint64_t newest_end_ = 0;
 };
