Let jobs follow their workspace through renames and new keys

If another workspace took the former name, it was answered 200 for them and could cancel them.

Cause: a job was stored with the name of its workspace, and that was compared to the name that the caller's key has now. Guarantees and the share of the memory for jobs went by the stored name, too.

Change: workspace_registry gives a workspace an identity. One of the next version is the known one that had one of its keys, else the one that had its name; a name that is free again makes a new one. Each scheduler applies every version that it sees, and the leader stores the result when it changes, so that it outlasts all processes. Jobs are stored with the identity; older ones are found by name and version. Access, guarantees and the share of memory follow it.

--- a/src/baobabrack/daemon/scheduler_program.cpp
+++ b/src/baobabrack/daemon/scheduler_program.cpp
@@ -146,7 +146,7 @@
         loop_.on_signal(SIGTERM, [this] { begin_drain(); });
         loop_.on_signal(SIGINT, [this] { begin_drain(); });
         loop_.on_signal(SIGHUP, [] { log_event(log_level::info, "reload-not-needed"); });
-        config_.start([] {});
+        config_.start([this] { node_.apply_config(); });
         node_.start();
         log_event(log_level::info, "started")
             .field("listen", settings_.listen())
--- a/src/baobabrack/workload/job_access.hpp
+++ b/src/baobabrack/workload/job_access.hpp
@@ -2,6 +2,7 @@
 #define BAOBABRACK_WORKLOAD_JOB_ACCESS_HPP
 
 #include "baobabrack/workload/job_spec.hpp"
+#include "baobabrack/workload/workspace_registry.hpp"
 
 namespace baobabrack::workload {
 
@@ -22,9 +23,14 @@
     undetermined,
 };
 
+/// @return the workspace that submitted the job, under whatever name, or null
+const known_workspace* find_owner(const job_spec& job, const workspace_registry& workspaces);
+
 /// A job belongs to the workspace that submitted it, and a job that was submitted without a key to
-/// its queue. Neither changes with the configuration, which may move queues and replace keys.
-job_access check_access(const job_spec& job, const caller_identity& caller);
+/// its queue. Neither changes with the configuration, which may move queues, replace keys and
+/// rename workspaces.
+job_access check_access(const job_spec& job, const caller_identity& caller,
+                        const workspace_registry& workspaces);
 
 }  // namespace baobabrack::workload
 
--- a/src/baobabrack/workload/job_frontend.cpp
+++ b/src/baobabrack/workload/job_frontend.cpp
@@ -161,6 +161,9 @@
 void job_frontend::submit(const route& to, job_spec spec, duration deadline, reply_handler done) {
     spec.queue = to.queue->id;
     spec.workspace = to.workspace;
+    if (const auto* owner = node_.workspaces().find(to.workspace, to.config)) {
+        spec.owner = owner->identity;
+    }
     spec.service = to.queue->service;
     spec.config = to.config;
     spec.priority = to.queue->priority;
@@ -245,7 +248,7 @@
 // Counts and logs a call for a job of another owner.
 job_access job_frontend::check_call(const std::string& call, const stored_job& job,
                                     const caller_identity& caller) {
-    const auto access = check_access(job.spec, caller);
+    const auto access = check_access(job.spec, caller, node_.workspaces());
     if (access == job_access::granted) {
         return access;
     }
@@ -321,7 +324,8 @@
 bool job_frontend::cancel_if_owned(const job_id& id, const caller_identity& caller,
                                    duration deadline, const reply_handler& done) {
     const auto* job = node_.jobs().find(id);
-    if (job == nullptr || check_access(job->spec, caller) != job_access::granted) {
+    if (job == nullptr ||
+        check_access(job->spec, caller, node_.workspaces()) != job_access::granted) {
         return false;
     }
     cancel_known(id, deadline, done);
--- a/src/baobabrack/workload/job_memory.cpp
+++ b/src/baobabrack/workload/job_memory.cpp
@@ -15,10 +15,13 @@
 constexpr std::size_t owner_fraction = 2;
 constexpr std::size_t unfinished_fraction = 8;
 
-// The prefixes keep a workspace and a queue of the same name apart.
+// The prefixes keep workspaces and queues of the same name apart.
 std::string owner_of(const job_spec& spec) {
-    return spec.workspace.get().empty() ? "queue/" + spec.queue.get()
-                                        : "workspace/" + spec.workspace.get();
+    if (spec.workspace.get().empty()) {
+        return "queue/" + spec.queue.get();
+    }
+    return spec.owner == workspace_identity{} ? "workspace/" + spec.workspace.get()
+                                              : "identity/" + std::to_string(spec.owner.get());
 }
 
 }  // namespace
--- a/src/baobabrack/workload/job_spec.cpp
+++ b/src/baobabrack/workload/job_spec.cpp
@@ -151,6 +151,7 @@
         .id = job_id{record.id()},
         .queue = queue_id{record.queue()},
         .workspace = workspace_id{record.workspace()},
+        .owner = workspace_identity{record.workspace_identity()},
         .service = service_id{record.service()},
         .config = config_version{record.config_version()},
         .priority = record.priority(),
@@ -178,6 +179,7 @@
     record.set_id(spec.id.get());
     record.set_queue(spec.queue.get());
     record.set_workspace(spec.workspace.get());
+    record.set_workspace_identity(spec.owner.get());
     record.set_service(spec.service.get());
     record.set_config_version(spec.config.get());
     record.set_priority(spec.priority);
--- a/src/baobabrack/workload/job_spec.hpp
+++ b/src/baobabrack/workload/job_spec.hpp
@@ -53,7 +53,10 @@
 struct job_spec {
     job_id id;
     queue_id queue;
+    /// The name of the workspace when the job was submitted; empty if it was without a key.
     workspace_id workspace;
+    /// The workspace, as far as the scheduler that accepted the job knew it.
+    workspace_identity owner;
     /// The service of the queue when the job was submitted; see `scheduler::update_service`.
     service_id service;
     /// The configuration that says so.
--- a/src/baobabrack/workload/names.hpp
+++ b/src/baobabrack/workload/names.hpp
@@ -18,6 +18,9 @@
 using label = strong_type<struct label_tag, std::string>;
 using config_version = strong_type<struct config_version_tag, std::uint64_t>;
 
+/// Identifies a workspace through changes of its name and its keys; zero means none.
+using workspace_identity = strong_type<struct workspace_identity_tag, std::uint64_t>;
+
 /// Number of a run of a task, starting at 1; zero means no run.
 using run_number = strong_type<struct run_tag, std::uint32_t>;
 
--- a/src/baobabrack/workload/scheduler.cpp
+++ b/src/baobabrack/workload/scheduler.cpp
@@ -81,6 +81,7 @@
     }
     job.service = job.spec.service;
     job.routed_by = job.spec.config;
+    job.workspace = workspace_of(job.spec);
     capacity_changed_ = true;
     jobs_.emplace(job.spec.id, std::move(job));
 }
--- a/src/baobabrack/workload/scheduler.hpp
+++ b/src/baobabrack/workload/scheduler.hpp
@@ -25,6 +25,7 @@
 #include "baobabrack/workload/worker_report.hpp"
 #include "baobabrack/workload/worker_table.hpp"
 #include "baobabrack/workload/workload_config.hpp"
+#include "baobabrack/workload/workspace_registry.hpp"
 
 namespace baobabrack::workload {
 
@@ -63,6 +64,11 @@
     /// @param leases_expired_at when the last of these leases expires
     void load(const job_table& book, time_point now, time_point leases_expired_at);
 
+    /// Notes which workspace each job belongs to under the latest configuration.
+    ///
+    /// @param workspaces outlives this object, and is used for jobs that are added later
+    void update_owners(const workspace_registry& workspaces);
+
     /// Adds a job that has been stored, or cancels it.
     void add_job(const stored_job& job, time_point now);
     void cancel_job(const job_id& id);
@@ -173,6 +179,8 @@
         /// The service to which the newest configuration sends the queue, and that configuration.
         service_id service;
         config_version routed_by;
+        /// The present name of the job's workspace; empty if it has none, or has been removed.
+        workspace_id workspace;
         job_progress progress;
         bool cancelled = false;
         /// A task has used up its attempts, or crashes workers. The job ends once its running tasks
@@ -260,6 +268,7 @@
     void allocate_run(const task_name& name, const task_ref& ref);
     void release_run(const task_name& name, const task_ref& ref);
     void insert_job(open_job job);
+    workspace_id workspace_of(const job_spec& spec) const;
     void restore_assignments(open_job& job, time_point now);
     void apply_end(const ended_run& end, const worker_instance& place, time_point now);
     void apply_end_of_lost_run(const ended_run& end, const task_ref& ref);
@@ -376,6 +385,8 @@
     // acknowledged.
     std::set<job_id> unread_jobs_;
     std::set<data_centre_id> evacuated_;
+    const workspace_registry* workspaces_ = nullptr;
+    std::uint64_t workspaces_revision_ = 0;
     std::map<worker_instance, std::uint64_t> applied_ends_;
     std::map<worker_instance, std::uint64_t> stored_ends_;
     bool ends_dirty_ = false;
--- a/src/baobabrack/workload/scheduler_capacity.cpp
+++ b/src/baobabrack/workload/scheduler_capacity.cpp
@@ -172,7 +172,7 @@
     std::vector<run_unit> units;
     for (auto& entry : jobs_) {
         auto& job = entry.second;
-        const auto use = uses.find(job.spec.workspace);
+        const auto use = uses.find(job.workspace);
         if (job.spec.priority != 0 || (use != uses.end() && use->second.is_within())) {
             continue;
         }
@@ -184,7 +184,7 @@
             run_unit single;
             auto& into =
                 ref.step->gang ? gangs[std::pair{ref.occurrence, ref.step_number}] : single;
-            into.workspace = job.spec.workspace;
+            into.workspace = job.workspace;
             into.tasks.push_back(name_of(ref));
             into.accelerators += ref.step->per_task.accelerators.get();
             into.lost_work += lost_work_of(ref, now);
--- a/src/baobabrack/workload/scheduler_decide.cpp
+++ b/src/baobabrack/workload/scheduler_decide.cpp
@@ -133,7 +133,7 @@
             max_accelerators = std::max(
                 max_accelerators, std::uint64_t{step.tasks} * step.per_task.accelerators.get());
         }
-        uses[job.spec.workspace].demand += max_accelerators;
+        uses[job.workspace].demand += max_accelerators;
     }
     for (auto& [id, use] : uses) {
         const auto* workspace = config.find_workspace(id);
@@ -148,7 +148,7 @@
                               std::vector<waiting_group>& groups) {
     for (auto& waiting : groups) {
         const auto& spec = waiting.job->spec;
-        const auto use = guarantees.find(spec.workspace);
+        const auto use = guarantees.find(waiting.job->workspace);
         waiting.entitled = spec.priority == 0 && use != guarantees.end() && use->second.is_within();
     }
 }
--- a/src/baobabrack/workload/scheduler_jobs.cpp
+++ b/src/baobabrack/workload/scheduler_jobs.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "baobabrack/workload/job_access.hpp"
 #include "baobabrack/workload/scheduler.hpp"
 
 namespace baobabrack::workload {
@@ -189,6 +190,26 @@
                        {}, phase == job_phase::failed ? job.failure_reason : "");
 }
 
+void scheduler::update_owners(const workspace_registry& workspaces) {
+    if (workspaces_ == &workspaces && workspaces_revision_ == workspaces.revision()) {
+        return;
+    }
+    workspaces_ = &workspaces;
+    workspaces_revision_ = workspaces.revision();
+    for (auto& [id, job] : jobs_) {
+        job.workspace = workspace_of(job.spec);
+    }
+    capacity_changed_ = true;
+}
+
+workspace_id scheduler::workspace_of(const job_spec& spec) const {
+    if (workspaces_ == nullptr) {
+        return spec.workspace;
+    }
+    const auto* owner = find_owner(spec, *workspaces_);
+    return owner == nullptr ? workspace_id{} : workspace_registry::current_name(*owner);
+}
+
 void scheduler::update_services(const workload_config& config) {
     for (auto& [id, job] : jobs_) {
         if (job.routed_by < config.version) {
--- a/src/baobabrack/workload/scheduler_node.cpp
+++ b/src/baobabrack/workload/scheduler_node.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "baobabrack/observe/json_log.hpp"
 #include "baobabrack/workload/evacuation_view.hpp"
 #include "baobabrack/workload/scheduler_node_limits.hpp"
 
@@ -106,6 +107,10 @@
         apply_leader_record(entry);
         return;
     }
+    if (entry.record.key == workspaces_key) {
+        apply_workspaces(entry);
+        return;
+    }
     if (guards_.apply(entry.record.key, entry.record.value, entry.offset)) {
         if (const auto* endpoint = guards_.find_endpoint(entry.record.key)) {
             deps_.network.expect(*endpoint);
@@ -115,6 +120,37 @@
     jobs_.apply_progress(entry.record.key, entry.record.value, entry.offset);
 }
 
+// The leader's record goes before what this scheduler has derived from the versions that it saw.
+void scheduler_node::apply_workspaces(const keyed_entry& entry) {
+    const bool known = workspaces_offset_ && entry.offset <= *workspaces_offset_;
+    if (known || entry.record.value.empty()) {
+        return;
+    }
+    workspaces_offset_ = entry.offset;
+    if (!workspaces_.load(entry.record.value)) {
+        log_event(log_level::error, "workspaces-unreadable").field("offset", entry.offset.get());
+        return;
+    }
+    stored_workspaces_revision_ = workspaces_.revision();
+}
+
+const workspace_registry& scheduler_node::workspaces() {
+    const auto* config = deps_.config.current();
+    if (config == nullptr || !progress_.caught_up()) {
+        return workspaces_;
+    }
+    for (const auto& change : workspaces_.update(*config)) {
+        log_event(log_level::info, change.name.get().empty()          ? "workspace-removed"
+                                   : change.former_name.get().empty() ? "workspace-added"
+                                                                      : "workspace-renamed")
+            .field("workspace", change.name.get())
+            .field("former_name", change.former_name.get())
+            .field("identity", change.identity.get())
+            .field("config_version", config->version.get());
+    }
+    return workspaces_;
+}
+
 bool scheduler_node::store_available() const {
     if (!intake_.caught_up() || intake_.consecutive_failures() > 0) {
         return false;
@@ -152,6 +188,7 @@
         return;
     }
     scheduler_->set_evacuated(deps_.config.evacuated());
+    scheduler_->update_owners(workspaces());
     scheduler_->decide(usable_config(), deps_.loop.now(), deps_.loop.wall_now());
     log_decisions();
     flush();
--- a/src/baobabrack/workload/scheduler_node.hpp
+++ b/src/baobabrack/workload/scheduler_node.hpp
@@ -19,6 +19,7 @@
 #include "baobabrack/workload/peer_pings.hpp"
 #include "baobabrack/workload/progress_parts.hpp"
 #include "baobabrack/workload/scheduler.hpp"
+#include "baobabrack/workload/workspace_registry.hpp"
 
 namespace baobabrack::workload {
 
@@ -77,6 +78,13 @@
     /// @return the table of stored jobs
     const job_table& jobs() const { return jobs_; }
 
+    /// @return the workspaces up to the latest configuration
+    const workspace_registry& workspaces();
+
+    /// Notes the workspaces of a new configuration. Called for each version, so that none is missed
+    /// that renames a workspace.
+    void apply_config() { workspaces(); }
+
     /// Brings the job table up to the submissions and cancellations that are stored by now.
     ///
     /// @param done receives whether it has been
@@ -109,6 +117,10 @@
     void apply_intake(const keyed_entry& entry);
     void apply_progress(const keyed_entry& entry);
     void apply_leader_record(const keyed_entry& entry);
+    void apply_workspaces(const keyed_entry& entry);
+    bool workspaces_changed() const {
+        return workspaces_.revision() != stored_workspaces_revision_;
+    }
     void maybe_claim_leadership();
     void claim_leadership();
     void become_leader();
@@ -172,6 +184,10 @@
     std::string leader_id_;
     std::string leader_endpoint_;
     log_offset leader_offset_;
+    workspace_registry workspaces_;
+    std::optional<log_offset> workspaces_offset_;
+    // The revision that is stored, or on its way to the store.
+    std::uint64_t stored_workspaces_revision_ = 0;
     std::uint64_t leader_term_ = 0;
     bool leader_resigned_ = false;
     // When the leader's latest record was read, or the wait for one began.
--- a/src/baobabrack/workload/scheduler_node_batches.cpp
+++ b/src/baobabrack/workload/scheduler_node_batches.cpp
@@ -27,8 +27,8 @@
     const bool confirmation_due =
         deps_.loop.now() - writer_.last_confirmed() >= confirmation_interval;
     auto batch = scheduler_->drain_batch(confirmation_due);
-    const bool batch_empty =
-        batch.changes.empty() && batch.applied_ends.empty() && progress_deletions_.empty();
+    const bool batch_empty = batch.changes.empty() && batch.applied_ends.empty() &&
+                             progress_deletions_.empty() && !workspaces_changed();
     if (!batch_empty || confirmation_due || resigning_) {
         write_batch(std::move(batch));
     }
@@ -50,6 +50,10 @@
     for (auto& record : guards_.drain_changes(deps_.loop.now())) {
         parts.add(std::move(record));
     }
+    if (workspaces_changed()) {
+        stored_workspaces_revision_ = workspaces_.revision();
+        parts.add({.key = std::string{workspaces_key}, .value = workspaces_.save()});
+    }
     parts_ = parts.finish(std::move(batch.applied_ends));
     write_next_part();
 }
--- a/src/baobabrack/workload/scheduler_node_leadership.cpp
+++ b/src/baobabrack/workload/scheduler_node_leadership.cpp
@@ -119,6 +119,8 @@
     scheduler_.reset();
     parts_.clear();
     rejected_jobs_.clear();
+    // They may not have been stored.
+    stored_workspaces_revision_ = 0;
     intake_.set_min_poll_interval(follower_poll_interval);
     decide_timer_.cancel();
     leader_last_seen_ = deps_.loop.now();
--- a/src/baobabrack/workload/scheduler_node_limits.hpp
+++ b/src/baobabrack/workload/scheduler_node_limits.hpp
@@ -14,6 +14,7 @@
 inline const topic_id intake_topic{"keyed.baobabrack-jobs"};
 inline const topic_id progress_topic{"keyed.baobabrack-progress"};
 inline constexpr std::string_view leader_key = "leader";
+inline constexpr std::string_view workspaces_key = "workspaces";
 // Schedulers that do not lead read the topics at most this often. Callers see the state of a job at
 // most this much later, and the calls to the store do not grow with the number of decisions.
 inline constexpr duration follower_poll_interval = std::chrono::milliseconds{120};
--- a/tests/workload/guarantees.tests.cpp
+++ b/tests/workload/guarantees.tests.cpp
@@ -191,3 +191,30 @@
     CHECK(fixture.runs_of("borrower") == 4);
     CHECK(fixture.subject.counts().preempted == 0);
 }
+
+// A job kept the name that its workspace had at its submission, for which there was no guarantee
+// any more, so that its runs could be reclaimed.
+TEST_CASE("A renamed workspace keeps its guarantee for the jobs that it had before",
+          "[scheduler][guarantees]") {
+    guarantee_fixture fixture;
+    workspace_registry workspaces;
+    fixture.config.version = config_version{1};
+    fixture.config.workspaces[0].keys = {"key-of-a"};
+    fixture.config.workspaces[1].guaranteed = accelerator_count{8};
+    workspaces.update(fixture.config);
+    fixture.subject.update_owners(workspaces);
+    fixture.submit_for("b", "borrower", 4, 8);
+    fixture.run_for(1s);
+    fixture.submit_for("a", "owner", 2, 8);
+    fixture.run_for(2s);
+    REQUIRE(fixture.runs_of("owner") == 2);
+    fixture.config.version = config_version{2};
+    fixture.config.workspaces[0].id = workspace_id{"renamed"};
+    workspaces.update(fixture.config);
+    fixture.subject.update_owners(workspaces);
+    fixture.submit_for("c", "other", 1, 8);
+    fixture.run_for(2s);
+    CHECK(fixture.runs_of("other") == 1);
+    CHECK(fixture.runs_of("owner") == 2);
+    CHECK(fixture.runs_of("borrower") == 1);
+}
--- a/tests/workload/job_frontend.tests.cpp
+++ b/tests/workload/job_frontend.tests.cpp
@@ -225,6 +225,20 @@
         return frontend_.job_state(route(path, key), job_id{id}).status;
     }
 
+    /// @return the answer of a scheduler that has started anew
+    reply_status state_after_restart(const std::string& key, const std::string& id) {
+        job_frontend restarted({}, loop, *scheduler(1), config, metrics_);
+        const auto found =
+            restarted.find_route({.host = "host", .path = "/queue/" + id, .key = key});
+        return restarted.job_state(found, job_id{id}).status;
+    }
+
+    /// Publishes the next version of the configuration, with these workspaces alone.
+    void replace_workspaces(std::vector<workspace_config> workspaces) {
+        config.config.version = config_version{config.config.version.get() + 1};
+        config.config.workspaces = std::move(workspaces);
+    }
+
     bool is_cancelled(const std::string& id) {
         return scheduler(0)->jobs().find(job_id{id})->cancelled;
     }
@@ -286,6 +300,53 @@
     CHECK(cluster.is_cancelled("j"));
 }
 
+// The job was looked up by the name that its workspace had at its submission, so that its owner was
+// told that there is no such job (review/15).
+TEST_CASE("A renamed workspace keeps its jobs", "[frontend][access]") {
+    shared_cluster cluster(45);
+    REQUIRE(cluster.submit_by("/queue/", "key", "j") == reply_status::accepted);
+    cluster.replace_workspaces({{.id = workspace_id{"renamed"}, .keys = {"key"}}});
+    CHECK(cluster.state_by("/queue/", "key", "j") == reply_status::accepted);
+    CHECK(cluster.submit_by("/queue/", "key", "j") == reply_status::accepted);
+    SECTION("and can cancel them") {
+        CHECK(cluster.cancel_by("/queue/", "key", "j") == reply_status::accepted);
+        CHECK(cluster.is_cancelled("j"));
+    }
+    SECTION("also after another key, another name and the loss of all schedulers") {
+        cluster.replace_workspaces({{.id = workspace_id{"renamed"}, .keys = {"key", "next"}}});
+        cluster.run_for(1s);
+        cluster.replace_workspaces({{.id = workspace_id{"again"}, .keys = {"next"}}});
+        cluster.run_for(1s);
+        cluster.lose_all_power(3s);
+        cluster.run_for(6s);
+        CHECK(cluster.state_after_restart("next", "j") == reply_status::accepted);
+    }
+}
+
+// The new holder of the name was shown the state of jobs that were not its own.
+TEST_CASE("The next holder of a workspace's former name gets none of its jobs",
+          "[frontend][access]") {
+    shared_cluster cluster(46);
+    REQUIRE(cluster.submit_by("/queue/", "key", "j") == reply_status::accepted);
+    const auto former = cluster.config.config.workspaces.front().id;
+    cluster.replace_workspaces(
+        {{.id = former, .keys = {"other"}}, {.id = workspace_id{"renamed"}, .keys = {"key"}}});
+    const auto check = [&] {
+        CHECK(cluster.state_by("/queue/", "other", "j") == reply_status::unknown_job);
+        CHECK(cluster.cancel_by("/queue/", "other", "j") == reply_status::unknown_job);
+        CHECK(cluster.submit_by("/queue/", "other", "j") == reply_status::invalid);
+        CHECK(cluster.state_by("/queue/", "key", "j") == reply_status::accepted);
+    };
+    check();
+    cluster.run_for(2s);
+    check();
+    CHECK_FALSE(cluster.is_cancelled("j"));
+    cluster.lose_all_power(3s);
+    cluster.run_for(6s);
+    CHECK(cluster.state_after_restart("other", "j") == reply_status::unknown_job);
+    CHECK(cluster.state_after_restart("key", "j") == reply_status::accepted);
+}
+
 // A scheduler whose configuration is older than the one of the job's acceptance may not know the
 // key of the job's owner yet, so its answer must not be final.
 TEST_CASE("A caller is not refused for good by a configuration older than the job",
