Send the reports of guards in parts that schedulers take

Cause: a report lists all runs of a worker, in one message. From about 5,000 runs on it is larger than the 294,912 bytes that a scheduler takes, and is lost. The leader then takes the worker's runs for lost and starts them again.

Change: a report is sent in up to 16 messages of 256 KiB, ends and refusals first, and used once all have arrived. Sender and receiver take the limits from one header. Incomplete reports of all guards share 16 MiB, as anybody can send parts; what is dropped is logged. With a large report, the next one that is not periodic waits in proportion to its size.

--- a/scenarios/fakes/fake_network.cpp
+++ b/scenarios/fakes/fake_network.cpp
@@ -6,7 +6,8 @@
 
 class fake_network::port : public peer_network {
 public:
-    port(fake_network& network, std::string id) : network_(network), id_(std::move(id)) {
+    port(fake_network& network, std::string id, std::size_t max_message_bytes)
+        : network_(network), id_(std::move(id)), max_message_bytes_(max_message_bytes) {
         network_.ports_[id_] = this;
     }
     ~port() override {
@@ -27,6 +28,8 @@
     }
     void on_message(handler handle) override { handle_ = std::move(handle); }
 
+    std::size_t max_message_bytes() const { return max_message_bytes_; }
+
     void receive(const std::string& sender, const wire::PeerMessage& message) {
         if (handle_) {
             handle_(sender, message);
@@ -36,12 +39,14 @@
 private:
     fake_network& network_;
     std::string id_;
+    std::size_t max_message_bytes_;
     std::set<std::string> connected_;
     handler handle_;
 };
 
-std::unique_ptr<peer_network> fake_network::attach(const std::string& id) {
-    return std::make_unique<port>(*this, id);
+std::unique_ptr<peer_network> fake_network::attach(const std::string& id,
+                                                   std::size_t max_message_bytes) {
+    return std::make_unique<port>(*this, id, max_message_bytes);
 }
 
 void fake_network::partition(const std::string& first, const std::string& second) {
@@ -64,6 +69,10 @@
         cuts_.contains({from, to})) {
         return;
     }
+    if (message.ByteSizeLong() > found->second->max_message_bytes()) {
+        ++oversized_;
+        return;
+    }
     ++delivered_;
     found->second->receive(from, message);
 }
--- a/scenarios/fakes/fake_network.hpp
+++ b/scenarios/fakes/fake_network.hpp
@@ -1,6 +1,9 @@
 #ifndef BAOBABRACK_FAKES_FAKE_NETWORK_HPP
 #define BAOBABRACK_FAKES_FAKE_NETWORK_HPP
 
+#include <cstddef>
+#include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -22,8 +25,12 @@
 
     fake_network(runtime& loop, options opts) : loop_(loop), options_(opts) {}
 
+    /// @param max_message_bytes larger messages to this process are lost, as a real receiver closes
+    ///                          the connection
     /// @return the network interface of the process `id`; it must not outlive this object
-    std::unique_ptr<peer_network> attach(const std::string& id);
+    std::unique_ptr<peer_network> attach(
+        const std::string& id,
+        std::size_t max_message_bytes = std::numeric_limits<std::size_t>::max());
 
     /// Drops all messages between two processes, in both directions, until `heal`.
     void partition(const std::string& first, const std::string& second);
@@ -35,6 +42,9 @@
 
     std::uint64_t delivered() const { return delivered_; }
 
+    /// @return the number of messages that were larger than their receiver takes
+    std::uint64_t oversized() const { return oversized_; }
+
 private:
     class port;
     using process_pair = std::pair<std::string, std::string>;
@@ -50,6 +60,7 @@
     // Sender and receiver.
     std::set<process_pair> cuts_;
     std::uint64_t delivered_ = 0;
+    std::uint64_t oversized_ = 0;
 };
 
 }  // namespace baobabrack::fakes
--- a/src/baobabrack/daemon/scheduler_program.cpp
+++ b/src/baobabrack/daemon/scheduler_program.cpp
@@ -11,6 +11,7 @@
 #include "baobabrack/transport/event_runtime.hpp"
 #include "baobabrack/transport/zmq_network.hpp"
 #include "baobabrack/workload/job_frontend.hpp"
+#include "baobabrack/workload/message_limits.hpp"
 #include "platform/config_follower.hpp"
 #include "platform/job_api.hpp"
 #include "platform/store_client.hpp"
@@ -37,7 +38,6 @@
 constexpr std::size_t max_peer_connections = 1000;
 // Messages for or from one peer; each peer sends a few a second.
 constexpr int peer_queue_limit = 64;
-constexpr std::uint64_t message_overhead_bytes = 32UL << 10U;
 
 duration from_ms(double milliseconds) {
     return std::chrono::duration_cast<duration>(
@@ -97,9 +97,9 @@
     return limits;
 }
 
-// The largest message of a peer is a submission that it forwards.
 std::int64_t max_message_bytes(const wire::SchedulerSettings& settings) {
-    return static_cast<std::int64_t>(limits_of(settings).record_bytes + message_overhead_bytes);
+    return static_cast<std::int64_t>(
+        workload::max_scheduler_message_bytes(limits_of(settings).record_bytes));
 }
 
 /// Replies 503 to every call: workers announce themselves to the guard on their host.
--- a/src/baobabrack/workload/guard_sessions.cpp
+++ b/src/baobabrack/workload/guard_sessions.cpp
@@ -1,6 +1,7 @@
 #include "baobabrack/workload/guard_sessions.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 #include "baobabrack/observe/json_log.hpp"
 #include "baobabrack/workload.pb.h"
@@ -19,6 +20,8 @@
 // Any number of hosts could be named by messages. Each guard needs descriptors of this process, of
 // which it has fewer.
 constexpr std::size_t max_sessions = 4096;
+// Of reports of all guards, in bytes. The parts of a report arrive one after the other.
+constexpr std::size_t max_incomplete_bytes = 16UL << 20U;
 // A guard that is silent for this long makes room for another.
 constexpr duration session_retention = std::chrono::seconds{60};
 
@@ -45,7 +48,7 @@
     }
     auto& current = sessions_[host_id{message.host()}];
     if (is_new_process(current, message.guard_incarnation(), now)) {
-        current = {};
+        current = session();
         current.guard_incarnation = message.guard_incarnation();
         current.token_base = (term_ << term_shift) + (++session_count_ << session_shift);
         log_event(log_level::info, "guard-joined")
@@ -57,16 +60,41 @@
     if (!same_process || message.sequence() <= current.last_sequence) {
         return nullptr;
     }
+    current.last_heard = now;
+    const auto whole = assemble(current, message);
+    if (!whole) {
+        return nullptr;
+    }
     current.last_sequence = message.sequence();
     current.report_sent_at_us = message.sent_at_us();
-    current.last_heard = now;
-    current.report = from_wire(message);
+    current.report = from_wire(*whole);
     // Lists that a guard reported under an earlier leader may predate orders that it has received
     // since.
     current.report.lists_known = message.lists_known() && message.term() == term_;
     return &current.report;
 }
 
+// Anybody can send parts of reports.
+std::optional<wire::WorkloadReport> guard_sessions::assemble(session& from,
+                                                             const wire::WorkloadReport& part) {
+    const bool too_many = part.parts() > max_report_parts;
+    if (part.parts() > 1 && (too_many || incomplete_bytes() >= max_incomplete_bytes)) {
+        from.incomplete.clear();
+        log_event(log_level::error, "report-too-large")
+            .field("host", part.host())
+            .field("parts", part.parts())
+            .field("incomplete_bytes", static_cast<std::uint64_t>(incomplete_bytes()));
+        return std::nullopt;
+    }
+    return from.incomplete.add(part);
+}
+
+std::size_t guard_sessions::incomplete_bytes() const {
+    return std::accumulate(
+        sessions_.begin(), sessions_.end(), std::size_t{0},
+        [](std::size_t sum, const auto& entry) { return sum + entry.second.incomplete.bytes(); });
+}
+
 bool guard_sessions::has_room(time_point now) {
     if (sessions_.size() >= max_sessions) {
         std::erase_if(sessions_, [now](const auto& entry) {
--- a/src/baobabrack/workload/guard_sessions.hpp
+++ b/src/baobabrack/workload/guard_sessions.hpp
@@ -3,9 +3,11 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
+#include "baobabrack/workload/report_parts.hpp"
 #include "baobabrack/workload/scheduler.hpp"
 
 namespace baobabrack::wire {
@@ -28,7 +30,8 @@
     /// may have been set back. A lower incarnation is therefore accepted as well once the process
     /// with the higher one is silent.
     ///
-    /// @return the decoded report, or null if it was not accepted
+    /// @return the decoded report, or null if it was not accepted or further parts of it have to
+    ///         arrive
     const worker_report* accept_report(const wire::WorkloadReport& message, time_point now);
 
     /// @return the latest report of a guard, or null if it has not joined
@@ -59,9 +62,13 @@
         time_point last_heard{};
         bool lease_extendable = false;
         worker_report report;
+        /// A report of which some parts have not arrived.
+        report_assembler incomplete;
     };
 
     bool has_room(time_point now);
+    std::size_t incomplete_bytes() const;
+    std::optional<wire::WorkloadReport> assemble(session& from, const wire::WorkloadReport& part);
     bool is_new_process(const session& known, std::uint64_t incarnation, time_point now) const;
 
     std::map<host_id, session> sessions_;
--- a/src/baobabrack/workload/scheduler_reports.cpp
+++ b/src/baobabrack/workload/scheduler_reports.cpp
@@ -158,17 +158,16 @@
 }
 
 // The run was taken for lost, and the next one was assigned before its end arrived. The end is
-// acknowledged like any other, so it must count: a task that is done must not start again.
-// Leaders before this one may have stored its effect, as guards repeat an end until then.
+// acknowledged like any other, so it must count: a task that is done must not start again. An
+// earlier leader may have stored its effect, as guards repeat an end until it is acknowledged.
 void scheduler::apply_end_of_earlier_run(const ended_run& end, const task_ref& ref) {
     if (end.outcome == run_outcome::failed) {
         if (!record_failure(*ref.step, *ref.tasks, *ref.task, end.run)) {
             return;
         }
         ++counts_.failed;
-    } else if (ref.task->done_earlier) {
-        return;
-    } else if (end.outcome != run_outcome::done || ref.step->long_running) {
+    } else if (end.outcome != run_outcome::done || ref.step->long_running ||
+               ref.task->done_earlier) {
         return;
     } else if (ref.task->phase == task_phase::waiting) {
         ++counts_.done;
--- a/src/baobabrack/workload/worker_guard.cpp
+++ b/src/baobabrack/workload/worker_guard.cpp
@@ -5,6 +5,7 @@
 
 #include "baobabrack/observe/json_log.hpp"
 #include "baobabrack/workload/report_codec.hpp"
+#include "baobabrack/workload/report_parts.hpp"
 
 namespace baobabrack::workload {
 
@@ -18,6 +19,9 @@
 constexpr duration pause_tolerance = 300ms;
 // After this time without orders, reports go to every seed in order to find the leader.
 constexpr duration leader_timeout = 1200ms;
+// A report lists all runs. With thousands of them, a report at each change would fill the link, so
+// the next one waits in proportion to the size of the last.
+constexpr std::size_t report_bytes_per_millisecond = 10'000;
 constexpr duration renewal_wait = 500ms;
 // After an unanswered renewal, the following ones wait for a shorter time, so that another loss is
 // detected sooner.
@@ -197,7 +201,10 @@
 
 void worker_guard::schedule_report() {
     if (!report_timer_.armed()) {
-        report_timer_.arm(duration::zero(), [this] { send_report(); });
+        const auto interval =
+            std::chrono::milliseconds{last_report_bytes_ / report_bytes_per_millisecond};
+        report_timer_.arm(std::max(last_report_at_ + interval - loop_.now(), duration::zero()),
+                          [this] { send_report(); });
     }
 }
 
@@ -225,8 +232,7 @@
         }
         runs_.add_to(report, reports_sent_ + 1);
     }
-    wire::PeerMessage out;
-    auto& message = *out.mutable_workload_report();
+    wire::WorkloadReport message;
     to_wire(report, message);
     message.set_guard_incarnation(options_.version.get());
     message.set_zmq_endpoint(options_.zmq_endpoint);
@@ -240,9 +246,16 @@
     if (leader_endpoint_.empty() || loop_.now() - last_orders_at_ > leader_timeout) {
         receivers.insert(options_.seeds.begin(), options_.seeds.end());
     }
+    last_report_at_ = loop_.now();
+    last_report_bytes_ = message.ByteSizeLong();
+    const auto parts = split_report(message);
     for (const auto& endpoint : receivers) {
         network_.connect(endpoint, endpoint);
-        network_.send(endpoint, out);
+        for (const auto& part : parts) {
+            wire::PeerMessage out;
+            *out.mutable_workload_report() = part;
+            network_.send(endpoint, out);
+        }
     }
 }
 
--- a/src/baobabrack/workload/worker_guard.hpp
+++ b/src/baobabrack/workload/worker_guard.hpp
@@ -154,6 +154,8 @@
     bool renewal_in_flight_ = false;
     std::uint64_t current_renewal_ = 0;
     std::uint64_t reports_sent_ = 0;
+    time_point last_report_at_{};
+    std::size_t last_report_bytes_ = 0;
 
     scoped_timer periodic_report_timer_;
     scoped_timer report_timer_;
--- a/tests/workload/order_limits.tests.cpp
+++ b/tests/workload/order_limits.tests.cpp
@@ -102,7 +102,7 @@
         CHECK(orders.starts.empty());
     }
     SECTION("needs") {
-        while (fixture.read_orders().starts.size() > 0 && report.runs.size() < many_tasks) {
+        while (!fixture.read_orders().starts.empty() && report.runs.size() < many_tasks) {
             for (const auto& start : fixture.read_orders().starts) {
                 report.runs.push_back({.task = start.task, .run = start.run});
             }
--- a/tests/workload/simulated_cluster.cpp
+++ b/tests/workload/simulated_cluster.cpp
@@ -2,6 +2,8 @@
 
 #include <cstdlib>
 
+#include "baobabrack/workload/message_limits.hpp"
+
 namespace baobabrack::testing {
 
 namespace {
@@ -73,7 +75,8 @@
     auto& process = schedulers_[index];
     process.process = std::make_unique<fakes::process_runtime>(loop);
     process.link = std::make_unique<fakes::fake_store_link>(loop, store);
-    process.network = network_.attach(scheduler_name(index));
+    process.network = network_.attach(
+        scheduler_name(index), workload::max_scheduler_message_bytes(store_limits{}.record_bytes));
     process.metrics = std::make_unique<metrics_registry>();
     workload::scheduler_node::options opts{.id = scheduler_name(index),
                                            .version = incarnation{++last_incarnation_},
@@ -113,7 +116,7 @@
 void simulated_cluster::start_guard(unsigned index) {
     auto& process = hosts_[index];
     process.link = std::make_unique<fakes::fake_worker_link>(*process.worker);
-    process.network = network_.attach(host_name(index));
+    process.network = network_.attach(host_name(index), workload::max_orders_bytes);
     process.metrics = std::make_unique<metrics_registry>();
     workload::worker_guard::options opts{.host = workload::host_id{host_name(index)},
                                          .version = incarnation{++last_incarnation_},
--- a/tests/workload/simulated_cluster.hpp
+++ b/tests/workload/simulated_cluster.hpp
@@ -99,6 +99,8 @@
     fakes::fake_guarded_worker& worker(unsigned index) { return *hosts_[index].worker; }
     bool is_scheduler_running(unsigned index) const { return schedulers_[index].node != nullptr; }
     bool is_guard_running(unsigned index) const { return hosts_[index].guard != nullptr; }
+    /// @return the number of messages that were larger than their receivers take
+    std::uint64_t oversized_messages() const { return network_.oversized(); }
     void disconnect(const std::string& first, const std::string& second) {
         network_.partition(first, second);
     }
