Test many large jobs at once, and list ids that two workspaces share

40 jobs of 40 tasks with payloads of 4,000 bytes on one worker, beside a small job of another workspace, run to their ends on this code: 1,601 starts, no message larger than its receiver takes. On the developers' board saw 12 of 40 end, and the small job never.

Two workspaces that choose one id at the same moment at two schedulers are both answered as accepted, and each scheduler shows the job to another of them. The test fails on this code and is listed as known. A fix has to read the submissions up to a scheduler's own append before it answers, and to keep the first of two records as the newest of its key.

--- a/tests/workload/job_frontend.tests.cpp
+++ b/tests/workload/job_frontend.tests.cpp
@@ -347,6 +347,29 @@
     CHECK(cluster.state_after_restart("key", "j") == reply_status::accepted);
 }
 
+// Both were answered as accepted, and afterwards each scheduler showed the job to another of the
+// two.
+TEST_CASE("An id that two workspaces choose at once goes to one, the same on every scheduler",
+          "[frontend][access][known-red]") {
+    shared_cluster cluster(47);
+    metrics_registry metrics;
+    job_frontend other({}, cluster.loop, *cluster.scheduler(1), cluster.config, metrics);
+    const auto route_of = [&](const std::string& key) {
+        return other.find_route({.host = "host", .path = "/queue/j", .key = key});
+    };
+    std::optional<frontend_reply> second;
+    other.submit(route_of("foreign"), job_of("j", 1, 1), 3s,
+                 [&](const frontend_reply& answer) { second = answer; });
+    const auto first = cluster.submit_by("/queue/", "key", "j");
+    REQUIRE(cluster.run_until([&] { return second.has_value(); }, 4s));
+    CHECK((first == reply_status::accepted) != (second->status == reply_status::accepted));
+    cluster.run_for(2s);
+    for (const std::string key : {"key", "foreign"}) {
+        CHECK(cluster.state_by("/queue/", key, "j") ==
+              other.job_state(route_of(key), job_id{"j"}).status);
+    }
+}
+
 // A scheduler whose configuration is older than the one of the job's acceptance may not know the
 // key of the job's owner yet, so its answer must not be final.
 TEST_CASE("A caller is not refused for good by a configuration older than the job",
--- a/tests/workload/report_parts.tests.cpp
+++ b/tests/workload/report_parts.tests.cpp
@@ -27,6 +27,28 @@
     CHECK(cluster.violations.empty());
 }
 
+// The orders were larger than the guard takes, and so were all that followed: nothing that was
+// placed on the worker was started any more.
+TEST_CASE("Many jobs with long payloads that arrive at once run beside a small one",
+          "[scheduler_node][orders]") {
+    simulated_cluster cluster(52, {.hosts = 1, .run_time = 2s});
+    cluster.run_for(2s);
+    for (int number = 0; number < 40; ++number) {
+        auto job = job_of("large-" + std::to_string(number), 40, 0);
+        job.payload = std::string(4000, 'x');
+        job.steps.front().per_task = {.cpu = cpu_millicores{20}, .memory = memory_mib{20}};
+        REQUIRE(cluster.submit(job));
+    }
+    auto small = job_of("small", 1, 1);
+    small.workspace = workspace_id{"other"};
+    REQUIRE(cluster.submit(small));
+    CHECK(cluster.run_until([&] { return cluster.completed("small"); }, 6s));
+    CHECK(cluster.run_until([&] { return cluster.completed("large-39"); }, 30s));
+    CHECK(cluster.oversized_messages() == 0);
+    CHECK(cluster.runs_started == 1601);
+    CHECK(cluster.violations.empty());
+}
+
 namespace {
 
 constexpr time_point arrival{100s};
