List runs that are stopped because their starts waited for their turn

The time without progress counts from the assignment of a run. Starts of a job with thousands of tasks wait for their turn since orders are bounded, so such a run may be stopped as stalled in the report that first shows it.

--- a/tests/workload/order_limits.tests.cpp
+++ b/tests/workload/order_limits.tests.cpp
@@ -9,6 +9,7 @@
 using namespace baobabrack;
 using namespace baobabrack::workload;
 using namespace baobabrack::testing;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -158,3 +159,19 @@
     }
     CHECK(turns == std::vector<const job_spec*>{&large, &other, &sibling, &other, &large, &large});
 }
+
+// The time without progress counted from the assignment, so that runs which waited for their turn
+// to be started were stopped as soon as they were listed.
+TEST_CASE("A run whose start was delayed is not taken for stalled",
+          "[scheduler][orders][known-red]") {
+    order_fixture fixture;
+    fixture.now += 10s;
+    for (const auto& start : fixture.read_orders().starts) {
+        fixture.reports["h1"].runs.push_back({.task = start.task, .run = start.run});
+    }
+    fixture.decide();
+    CHECK(fixture.subject.counts().stopped == 0);
+    fixture.now += 60s;
+    fixture.decide();
+    CHECK(fixture.subject.counts().stopped > 0);
+}
