--- a/src/baobabrack/workload/failure_record.hpp
+++ b/src/baobabrack/workload/failure_record.hpp
@@ -18,16 +18,13 @@
     failure_record() = default;
 
     /// @param runs        the failed runs, in any order
-    /// @param without_run how many more runs have failed whose numbers are unknown: earlier
-    /// versions
-    ///                    stored only a count
+    /// @param without_run how many more runs have failed; earlier versions stored only a count
     explicit failure_record(std::vector<run_number> runs, std::uint32_t without_run = 0);
 
     /// Records that a run has failed.
     ///
-    /// @param latest the latest run of the task. An earlier one may be among those whose numbers
-    /// are
-    ///               unknown, and is taken for one of them.
+    /// @param latest the latest run of the task; an earlier one is taken for one of those that were
+    ///               counted without their numbers, if there are any
     /// @return whether this was not known before
     bool add(run_number run, run_number latest);
 
