--- a/tests/workload/report_parts.tests.cpp
+++ b/tests/workload/report_parts.tests.cpp
@@ -11,7 +11,7 @@
 using namespace std::chrono_literals;
 
 // The reports of a guard with thousands of runs were larger than a scheduler takes. They were lost,
-// so no further run was started on its worker, and ends stayed unknown.
+// and the job did not end.
 TEST_CASE("Thousands of small tasks run on one worker", "[scheduler_node][reports]") {
     constexpr std::uint32_t tasks = 4200;
     const std::string long_id(64, 'j');
